--- /dev/null
+++ b/src/main/kotlin/mintfield/app/ChangeWriter.kt
@@ -0,0 +1,142 @@
+package mintfield.app
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import mintfield.core.Tuning
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.loop.Pacer
+import mintfield.io.store.Guard
+import mintfield.io.store.KeyWrite
+import mintfield.io.store.StoreClient
+import mintfield.io.store.StoreResult
+import mintfield.io.store.TxnOutcome
+
+enum class ChangeResult {
+    APPLIED,
+
+    /** A guarded key had changed: nothing was written. */
+    CONFLICT,
+
+    /** The store did not take it; its user should come back. */
+    REFUSED,
+
+    /** No answer: it may or may not be applied, now or later. */
+    UNKNOWN,
+}
+
+/** Writes the changes that users ask for; those that wait at the same moment share a transaction. */
+class ChangeWriter(
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val store: StoreClient,
+    private val txnOps: Int,
+    private val pacer: Pacer,
+) {
+    private class Change(
+        val guards: List<Guard>,
+        val writes: List<KeyWrite>,
+        val sinceMs: Long,
+    ) {
+        val result = CompletableDeferred<ChangeResult>()
+        val bytes = writes.sumOf { (it as? KeyWrite.Put)?.json?.size ?: 0 } + OVERHEAD * (guards.size + writes.size)
+    }
+
+    private val queue = ArrayDeque<Change>()
+    private var lanes = 0
+
+    /** False when so much waits already that a further change would only grow old. */
+    val open: Boolean get() = queue.size < Tuning.MAX_WAITING_CHANGES
+
+    suspend fun write(
+        guards: List<Guard>,
+        writes: List<KeyWrite>,
+    ): ChangeResult {
+        if (!open) return ChangeResult.REFUSED
+        val change = Change(guards, writes, loop.nowMs())
+        queue.addLast(change)
+        if (lanes < Tuning.CHANGE_LANES) {
+            lanes++
+            scope.launch {
+                try {
+                    drain()
+                } finally {
+                    lanes--
+                }
+            }
+        }
+        return change.result.await()
+    }
+
+    private suspend fun drain() {
+        while (queue.isNotEmpty()) {
+            val batch = take()
+            pacer.acquire(batch.sumOf { it.writes.size }.toDouble())
+            carryOut(batch)
+        }
+    }
+
+    private fun take(): List<Change> {
+        val batch = ArrayList<Change>()
+        var ops = 0
+        var bytes = 0
+        while (true) {
+            val next = queue.firstOrNull() ?: break
+            if (batch.isNotEmpty() && (ops + next.writes.size > txnOps || bytes + next.bytes > Tuning.MAX_TXN_BYTES)) break
+            ops += next.writes.size
+            bytes += next.bytes
+            batch.add(queue.removeFirst())
+        }
+        return batch
+    }
+
+    private suspend fun carryOut(all: List<Change>) {
+        var batch = all
+        while (batch.isNotEmpty()) {
+            when (val r = store.txn(batch.flatMap { it.guards }, batch.flatMap { it.writes })) {
+                is StoreResult.Ok ->
+                    when (val outcome = r.value) {
+                        is TxnOutcome.Applied -> return finish(batch, ChangeResult.APPLIED)
+
+                        is TxnOutcome.Failed -> {
+                            val failed = outcome.keys.toSet()
+                            val (bad, good) = batch.partition { c -> c.guards.any { it.key in failed } }
+                            // One change that meets a conflict must not fail its neighbours.
+                            finish(bad, ChangeResult.CONFLICT)
+                            if (bad.isEmpty()) return finish(batch, ChangeResult.REFUSED)
+                            batch = good
+                        }
+
+                        TxnOutcome.LeaseGone -> return finish(batch, ChangeResult.REFUSED)
+                    }
+
+                is StoreResult.Refused -> {
+                    if (r.status != TOO_MANY) return finish(batch, ChangeResult.REFUSED)
+                    val (old, young) = batch.partition { loop.nowMs() - it.sinceMs > Tuning.CHANGE_PATIENCE_MS }
+                    finish(old, ChangeResult.REFUSED)
+                    batch = young
+                    if (batch.isNotEmpty()) delay(Tuning.STORE_RETRY_MS)
+                }
+
+                is StoreResult.Unknown -> {
+                    Log.info("no answer to ${batch.size} changes of users: ${r.why}")
+                    return finish(batch, ChangeResult.UNKNOWN)
+                }
+            }
+        }
+    }
+
+    private fun finish(
+        batch: List<Change>,
+        result: ChangeResult,
+    ) = batch.forEach { it.result.complete(result) }
+
+    private companion object {
+        const val TOO_MANY = 429
+
+        /** Bytes of JSON round one guard or write. */
+        const val OVERHEAD = 90
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -0,0 +1,367 @@
+package mintfield.app
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import mintfield.core.CloudCall
+import mintfield.core.Commit
+import mintfield.core.CommitResult
+import mintfield.core.DirectCall
+import mintfield.core.Scheduler
+import mintfield.core.Tuning
+import mintfield.core.Write
+import mintfield.core.leadership.LeaseClock
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.FinalState
+import mintfield.core.model.Report
+import mintfield.core.model.Stage
+import mintfield.io.cloud.CloudResult
+import mintfield.io.http.Reply
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.loop.Pacer
+import mintfield.io.store.Entry
+import mintfield.io.store.Guard
+import mintfield.io.store.KeyWrite
+import mintfield.io.store.Keys
+import mintfield.io.store.Records
+import mintfield.io.store.StoreResult
+import mintfield.io.store.TxnOutcome
+import mintfield.io.worker.WorkerCodec
+
+/** Carries out what the scheduler decides, for as long as this member leads. */
+class Leader(
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val outside: Outside,
+    private val view: JobView,
+    val nonce: String,
+    private val lease: Long,
+    private val clock: LeaseClock,
+    term: Long,
+    private val deposed: (String) -> Unit,
+) : JobView.Listener {
+    private val settings = outside.settings
+    private val store = outside.store
+    val scheduler = Scheduler(settings, term) { Log.info(it) }
+    private val writes = Pacer(loop, settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var directCalls = 0
+
+    fun mayAct() = clock.mayAct(loop.nowMs())
+
+    fun leaseLeftMs() = clock.leftMs(loop.nowMs())
+
+    fun kick() {
+        wake.trySend(Unit)
+    }
+
+    fun start() {
+        scope.launch { renew() }
+        scope.launch {
+            replay()
+            scope.launch { commitLoop() }
+            scope.launch { cloudLoop() }
+            scope.launch { tickLoop() }
+            scope.launch { view.follow() }
+        }
+    }
+
+    private suspend fun renew() {
+        while (true) {
+            delay(Tuning.LEADER_RENEW_MS)
+            while (true) {
+                val sentAt = loop.nowMs()
+                when (val r = store.renewLease(lease)) {
+                    is StoreResult.Ok -> if (r.value) clock.renewed(sentAt) else return deposed("the lease has ended")
+                    else -> {
+                        Log.info("the lease was not renewed: $r; ${leaseLeftMs()} ms left")
+                        delay(Tuning.STORE_RETRY_MS)
+                        continue
+                    }
+                }
+                break
+            }
+        }
+    }
+
+    // ---- replay ----
+
+    /** Rebuilds the picture: catalogue, jobs, intents, machines, recorded plans and done-sets; then work goes on. */
+    private suspend fun replay() {
+        val startMs = loop.nowMs()
+        while (outside.types.isEmpty()) {
+            outside.readTypes()
+            if (outside.types.isEmpty()) delay(Tuning.CLOUD_RETRY_MS)
+        }
+        scheduler.types(outside.types.values.toList(), loop.nowMs())
+        while (!view.current()) delay(Tuning.STORE_RETRY_MS)
+        val intents = readAll(Keys.INTENTS)
+        val records = readAll(Keys.RECORDS)
+        readMachines()
+        // Abort and accept of other nodes may have come meanwhile; from here on the listener tells them.
+        while (!view.current()) delay(Tuning.STORE_RETRY_MS)
+        val now = loop.nowMs()
+        view.listener = this
+        view.live.values.forEach { scheduler.jobChanged(it, now) }
+        intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(Keys.INTENTS), it.data)) }
+        for (r in records) {
+            val (job, shard) = Keys.parseShard(r.key) ?: continue
+            scheduler.replayShard(r.key, job, shard, Records.parseShard(r.data, shard), now)
+        }
+        scheduler.replayDone(now)
+        Log.info(
+            "replayed ${view.live.size} jobs, ${records.size} records, ${intents.size} intents, " +
+                "${scheduler.cluster.machines.size} machines in ${loop.nowMs() - startMs} ms",
+        )
+    }
+
+    private suspend fun readAll(prefix: String): List<Entry> {
+        val found = ArrayList<Entry>()
+        while (true) {
+            val page = (store.list(prefix, found.lastOrNull()?.key, Tuning.PAGE) as? StoreResult.Ok)?.value
+            if (page == null) {
+                delay(Tuning.STORE_RETRY_MS)
+                continue
+            }
+            found.addAll(page.entries)
+            if (!page.hasNext || page.entries.isEmpty()) return found
+        }
+    }
+
+    /** One reading of the machine list for all replayed jobs; without it, reports must tell the machines. */
+    private suspend fun readMachines() {
+        var after: String? = null
+        while (true) {
+            val page = (outside.cloud.list(after) as? CloudResult.Ok)?.value ?: return
+            scheduler.listed(page.first, page.second, loop.nowMs())
+            if (!page.second) return
+            after = page.first.lastOrNull()?.id ?: return
+        }
+    }
+
+    // ---- jobs ----
+
+    override fun changed(job: AcceptedJob) {
+        scheduler.jobChanged(job, loop.nowMs())
+        kick()
+    }
+
+    override fun removed(id: String) {
+        scheduler.jobRemoved(id, loop.nowMs())
+    }
+
+    // ---- store ----
+
+    private suspend fun commitLoop() {
+        while (true) {
+            withTimeoutOrNull(IDLE_WAIT_MS) { wake.receive() }
+            while (mayAct()) {
+                val ops = minOf(settings.txnOps, writes.available.toInt())
+                val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops) ?: break
+                carryOut(commit)
+                sendDirect()
+                delay(Tuning.ROUND_MS)
+            }
+            sendDirect()
+        }
+    }
+
+    private suspend fun carryOut(wanted: Commit) {
+        val guards = LinkedHashMap<String, Guard>()
+        guards[Keys.LEADER] = Guard(Keys.LEADER, wanted.term)
+        val puts = ArrayList<KeyWrite>()
+        val taken = ArrayList<Write>()
+        var bytes = 0
+        for (w in wanted.writes) {
+            val writes = keyWrites(w)
+            val size = writes.sumOf { (it as? KeyWrite.Put)?.json?.size ?: 0 } + WRITE_OVERHEAD * (writes.size + 2)
+            if (puts.isNotEmpty() && (puts.size + writes.size > settings.txnOps || bytes + size > Tuning.MAX_TXN_BYTES)) break
+            guardsOf(w).forEach { guards[it.key] = it }
+            puts.addAll(writes)
+            bytes += size
+            taken.add(w)
+        }
+        val commit = Commit(wanted.term, taken)
+        writes.take(puts.size.toDouble())
+        val result =
+            when (val r = store.txn(guards.values.toList(), puts, urgent = true)) {
+                is StoreResult.Ok ->
+                    when (val o = r.value) {
+                        is TxnOutcome.Applied -> CommitResult.Done(o.revision)
+                        is TxnOutcome.Failed -> failed(o.keys)
+                        TxnOutcome.LeaseGone -> {
+                            deposed("the lease has ended")
+                            CommitResult.Refused
+                        }
+                    }
+
+                is StoreResult.Refused -> {
+                    Log.debug("a commit of ${puts.size} writes was refused with ${r.status}")
+                    delay(Tuning.STORE_RETRY_MS)
+                    CommitResult.Refused
+                }
+
+                is StoreResult.Unknown -> {
+                    Log.info("no answer to a commit of ${puts.size} writes: ${r.why}; the term will rise")
+                    CommitResult.Unknown
+                }
+            }
+        scheduler.committed(commit, result, loop.nowMs())
+    }
+
+    private suspend fun failed(keys: List<String>): CommitResult {
+        if (Keys.LEADER in keys) {
+            checkLeaderKey()
+            return CommitResult.Refused
+        }
+        return CommitResult.Conflict(keys.mapNotNullTo(HashSet()) { if (it.startsWith(Keys.LIVE)) it.removePrefix(Keys.LIVE) else null })
+    }
+
+    /** The leader key is not at our mark: a rewriting of our own without an answer went through, or our time is over. */
+    private suspend fun checkLeaderKey() {
+        when (val r = store.get(Keys.LEADER, urgent = true)) {
+            is StoreResult.Ok -> {
+                val e = r.value
+                if (e == null || e.data["nonce"] != nonce) return deposed("another leader has come")
+                scheduler.raised(e.mark, loop.nowMs())
+            }
+
+            else -> delay(Tuning.STORE_RETRY_MS)
+        }
+    }
+
+    private fun guardsOf(w: Write): List<Guard> =
+        when (w) {
+            is Write.Progress -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
+            is Write.Finish -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
+            is Write.Sweep -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
+            else -> emptyList()
+        }
+
+    private fun keyWrites(w: Write): List<KeyWrite> =
+        when (w) {
+            is Write.Progress -> listOf(KeyWrite.Put(Keys.shard(w.job.spec.id, w.shard), Records.shard(w.record, w.shard)))
+            is Write.Finish ->
+                listOf(
+                    KeyWrite.Put(Keys.final(w.job.spec.id), Records.final(FinalState(Stage.DONE, w.job.spec.tasks))),
+                    KeyWrite.Delete(Keys.live(w.job.spec.id)),
+                )
+            is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
+            is Write.SweepKey -> listOf(KeyWrite.Delete(w.key))
+            is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
+            is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
+            Write.RaiseTerm -> listOf(KeyWrite.Put(Keys.LEADER, leaderValue(settings.member, nonce), lease))
+        }
+
+    // ---- workers ----
+
+    fun report(report: Report) = scheduler.report(report, mayAct(), loop.nowMs())
+
+    private fun sendDirect() {
+        if (!mayAct()) return
+        for (call in scheduler.directCalls(loop.nowMs(), Tuning.MAX_DIRECT_CALLS - directCalls)) {
+            directCalls++
+            scope.launch {
+                try {
+                    send(call)
+                } finally {
+                    directCalls--
+                }
+            }
+        }
+    }
+
+    private suspend fun send(call: DirectCall) {
+        val client = outside.worker(call.address) ?: return scheduler.directUnanswered(call, sent = false, loop.nowMs())
+        val body = WorkerCodec.orders(call.term, call.season, call.orders)
+        when (val r = client.call("POST", "/commands", body, Tuning.DIRECT_TIMEOUT_MS)) {
+            is Reply.Answer -> {
+                val report = if (r.status == 200 || r.status == 409) WorkerCodec.report(r.body) else null
+                if (r.status == 409) Log.info("${call.machine} refused orders of term ${call.term}, season ${call.season}")
+                scheduler.directAnswered(call, report, loop.nowMs())
+                kick()
+            }
+
+            is Reply.None -> scheduler.directUnanswered(call, r.sent, loop.nowMs())
+        }
+    }
+
+    // ---- cloud and time ----
+
+    private suspend fun cloudLoop() {
+        while (true) {
+            val call = if (mayAct()) scheduler.cloudCall(loop.nowMs()) else null
+            if (call == null) {
+                delay(IDLE_WAIT_MS)
+                continue
+            }
+            cloudCall(call)
+            kick()
+        }
+    }
+
+    private suspend fun cloudCall(call: CloudCall) {
+        val fleet = scheduler.fleet
+        val why =
+            when (call) {
+                is CloudCall.Rent ->
+                    when (val r = outside.cloud.rent(call.intent)) {
+                        is CloudResult.Ok -> return fleet.rented(call.intent, r.value, loop.nowMs())
+                        CloudResult.NoCapacity -> return fleet.noCapacity(call.intent, loop.nowMs())
+                        is CloudResult.Failed -> r.why
+                    }
+
+                is CloudCall.Return ->
+                    when (val r = outside.cloud.giveBack(call.machines)) {
+                        is CloudResult.Ok -> return fleet.returned(call.machines, loop.nowMs())
+                        CloudResult.NoCapacity -> "no capacity"
+                        is CloudResult.Failed -> r.why
+                    }
+
+                is CloudCall.ListPage ->
+                    when (val r = outside.cloud.list(call.after)) {
+                        is CloudResult.Ok -> return fleet.listed(r.value.first, r.value.second, loop.nowMs())
+                        CloudResult.NoCapacity -> "no capacity"
+                        is CloudResult.Failed -> r.why
+                    }
+
+                CloudCall.Types ->
+                    when (val r = outside.cloud.types()) {
+                        is CloudResult.Ok -> return fleet.typesRead(r.value, loop.nowMs())
+                        CloudResult.NoCapacity -> "no capacity"
+                        is CloudResult.Failed -> r.why
+                    }
+            }
+        Log.info("the cloud did not carry out ${call.javaClass.simpleName}: $why")
+        fleet.failed(call, loop.nowMs())
+    }
+
+    private suspend fun tickLoop() {
+        var nextSummary = 0L
+        while (true) {
+            if (mayAct()) scheduler.tick(loop.nowMs())
+            if (loop.nowMs() >= nextSummary) {
+                nextSummary = loop.nowMs() + Tuning.SUMMARY_MS
+                Log.info(scheduler.summary())
+            }
+            delay(Tuning.TICK_MS)
+        }
+    }
+
+    companion object {
+        private const val IDLE_WAIT_MS = 100L
+        private const val WRITE_OVERHEAD = 110
+
+        fun leaderValue(
+            member: String,
+            nonce: String,
+        ): ByteArray =
+            mintfield.io.json.Json.obj {
+                writeStringField("member", member)
+                writeStringField("nonce", nonce)
+            }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -0,0 +1,70 @@
+package mintfield.app
+
+import mintfield.io.settings.SettingsFault
+import mintfield.io.settings.SettingsFile
+import picocli.CommandLine
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Model.OptionSpec
+import picocli.CommandLine.Model.PositionalParamSpec
+import kotlin.system.exitProcess
+
+private const val VERSION = "mintfield 0.1.0"
+
+/** Exit code for settings or arguments that cannot be used. */
+private const val BAD_USAGE = 2
+
+/** The command line, built by hand instead of from annotations, since reflection slows the start. */
+private fun spec(): CommandSpec {
+    val spec = CommandSpec.create().name("mintfield").mixinStandardHelpOptions(true).version(VERSION)
+    spec.usageMessage().description("Schedules jobs on rented machines.")
+    spec.addOption(
+        OptionSpec
+            .builder("--config")
+            .paramLabel("FILE")
+            .type(String::class.java)
+            .description("serve with the settings of this file (TOML)")
+            .build(),
+    )
+    val check = CommandSpec.create().name("check").mixinStandardHelpOptions(true)
+    check.usageMessage().description("Checks a settings file and says what is wrong with it.")
+    check.addPositional(
+        PositionalParamSpec
+            .builder()
+            .paramLabel("FILE")
+            .type(String::class.java)
+            .arity("1")
+            .build(),
+    )
+    spec.addSubcommand("check", check)
+    return spec
+}
+
+fun main(args: Array<String>) {
+    val line = CommandLine(spec())
+    val parsed =
+        try {
+            line.parseArgs(*args)
+        } catch (e: CommandLine.ParameterException) {
+            System.err.println("mintfield: ${e.message}")
+            exitProcess(BAD_USAGE)
+        }
+    CommandLine.executeHelpRequest(parsed)?.let { exitProcess(it) }
+    try {
+        val sub = parsed.subcommand()
+        if (sub != null) {
+            val path: String = sub.matchedPositionalValue(0, "")
+            SettingsFile.read(path)
+            println("$path: good")
+            return
+        }
+        val path: String? = parsed.matchedOptionValue("--config", null)
+        if (path == null) {
+            System.err.println("mintfield: expected --config FILE; see --help")
+            exitProcess(BAD_USAGE)
+        }
+        Node(SettingsFile.read(path)).run()
+    } catch (e: SettingsFault) {
+        System.err.println("mintfield: ${e.message}")
+        exitProcess(BAD_USAGE)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -0,0 +1,160 @@
+package mintfield.app
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.plus
+import mintfield.core.Tuning
+import mintfield.core.leadership.LeaseClock
+import mintfield.core.leadership.Role
+import mintfield.core.leadership.Standing
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.store.Entry
+import mintfield.io.store.Guard
+import mintfield.io.store.KeyWrite
+import mintfield.io.store.Keys
+import mintfield.io.store.StoreResult
+import mintfield.io.store.TxnOutcome
+import kotlin.coroutines.coroutineContext
+import kotlin.random.Random
+
+/** This process's part in the leadership: it seeks a leader, follows it, and stands when there is none. */
+class Member(
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val outside: Outside,
+    private val view: JobView,
+) {
+    private val store = outside.store
+    private val me = outside.settings.member
+    private val random = Random(System.nanoTime() xor me.hashCode().toLong())
+
+    /** Tells this process from an earlier one of the same member. */
+    private val nonce = java.lang.Long.toHexString(random.nextLong())
+    val standing = Standing { Log.info(it) }
+    var leader: Leader? = null
+        private set
+
+    suspend fun run() {
+        while (true) {
+            try {
+                step()
+            } catch (e: IllegalStateException) {
+                coroutineContext[Job]?.let { if (!it.isActive) throw e }
+                Log.error("leadership: ${e.message}")
+                delay(Tuning.STORE_RETRY_MS)
+            }
+        }
+    }
+
+    private suspend fun step() {
+        when (standing.role) {
+            Role.SEEKING, Role.FOLLOWING -> seek()
+            Role.STANDING -> stand()
+            Role.LEADING -> delay(Tuning.TICK_MS)
+        }
+    }
+
+    private suspend fun seek() {
+        when (val r = store.get(Keys.LEADER, urgent = true)) {
+            is StoreResult.Ok -> {
+                val entry = r.value
+                when {
+                    entry == null -> standing.moveTo(Role.STANDING, null)
+                    entry.data["member"] == me && leader == null -> endOwn(entry)
+                    else -> follow(entry)
+                }
+            }
+
+            else -> delay(Tuning.STORE_RETRY_MS * 2)
+        }
+    }
+
+    /** A key of our own that we do not hold is from an earlier process, which is gone: its lease may end now. */
+    private suspend fun endOwn(entry: Entry) {
+        Log.info("ending the lease of an earlier process of $me, term ${entry.mark}")
+        entry.lease?.let { store.endLease(it) }
+        standing.moveTo(Role.SEEKING, null)
+    }
+
+    private suspend fun follow(entry: Entry) {
+        standing.moveTo(Role.FOLLOWING, entry.data["member"] as? String)
+        var after = entry.mark
+        while (true) {
+            when (val r = store.watch(Keys.LEADER, after, Tuning.LEADER_WATCH_MS, urgent = true)) {
+                is StoreResult.Ok -> {
+                    if (r.value.tooOld) return
+                    val last = r.value.log.lastOrNull()
+                    after = maxOf(after, r.value.revision)
+                    if (last != null && last.data == null) return standing.moveTo(Role.STANDING, null)
+                    if (last != null) standing.moveTo(Role.FOLLOWING, last.data?.get("member") as? String)
+                }
+
+                else -> return delay(Tuning.STORE_RETRY_MS * 2)
+            }
+        }
+    }
+
+    private suspend fun stand() {
+        delay(random.nextLong(Tuning.ELECTION_SPREAD_MS))
+        val sentAt = loop.nowMs()
+        val lease = (store.grantLease(Tuning.LEADER_LEASE_MS) as? StoreResult.Ok)?.value
+        if (lease == null) {
+            delay(Tuning.STORE_RETRY_MS)
+            return standing.moveTo(Role.SEEKING, null)
+        }
+        val put = KeyWrite.Put(Keys.LEADER, Leader.leaderValue(me, nonce), lease)
+        val r = store.txn(listOf(Guard(Keys.LEADER, 0)), listOf(put), urgent = true)
+        val term =
+            when {
+                r is StoreResult.Ok && r.value is TxnOutcome.Applied -> (r.value as TxnOutcome.Applied).revision
+                r is StoreResult.Unknown -> ownTerm()
+                else -> null
+            }
+        if (term == null) {
+            store.endLease(lease)
+            return standing.moveTo(Role.SEEKING, null)
+        }
+        lead(term, lease, LeaseClock(Tuning.LEADER_LEASE_MS, sentAt))
+    }
+
+    /** After a try without an answer: the revision of our key, if it is there. */
+    private suspend fun ownTerm(): Long? {
+        val entry = (store.get(Keys.LEADER, urgent = true) as? StoreResult.Ok)?.value
+        return entry?.takeIf { it.data["nonce"] == nonce }?.mark
+    }
+
+    private fun lead(
+        term: Long,
+        lease: Long,
+        clock: LeaseClock,
+    ) {
+        standing.moveTo(Role.LEADING, me)
+        Log.info("leading with term $term")
+        val terms = scope + SupervisorJob(scope.coroutineContext[Job])
+        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term) { why -> depose(terms, why) }
+        leader = fresh
+        fresh.start()
+    }
+
+    private fun depose(
+        terms: CoroutineScope,
+        why: String,
+    ) {
+        if (leader == null) return
+        Log.info("not leading any more: $why")
+        leader = null
+        view.listener = null
+        standing.moveTo(Role.SEEKING, null)
+        terms.cancel()
+    }
+
+    /** A worker has seen a higher term than ours. */
+    fun deposedByWorker() {
+        // The lease tells for certain; until then this node answers no reports.
+        Log.info("a worker has seen a higher term")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -0,0 +1,135 @@
+package mintfield.app
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import mintfield.core.ReportAnswer
+import mintfield.core.Tuning
+import mintfield.core.model.Settings
+import mintfield.core.model.fittingTypes
+import mintfield.io.http.HttpMessage
+import mintfield.io.http.HttpServer
+import mintfield.io.http.Response
+import mintfield.io.http.parseAddress
+import mintfield.io.json.Json
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.loop.Pacer
+import mintfield.io.loop.scope
+import mintfield.io.peer.PeerLink
+import mintfield.io.worker.WorkerCodec
+import java.nio.channels.AsynchronousChannelGroup
+
+/** One controller: everything wired together. */
+class Node(
+    private val settings: Settings,
+) {
+    private val loop = EventLoop()
+    private val scope = loop.scope()
+    private val group = AsynchronousChannelGroup.withThreadPool(loop.executor)
+    private val outside = Outside(settings, loop, group)
+    private val checkGapMs = (1000 / (settings.stateRps * Tuning.CHECK_SHARE)).toLong()
+    private val view =
+        JobView(outside.store, scope, checkGapMs) { fittingTypes(it.spec, outside.types.values) }
+    private val member = Member(loop, scope, outside, view)
+    private val changes =
+        ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps, settings.stateWriteRps))
+    private val peers = PeerLink(loop, scope, settings, outside) { progressNote() }
+    private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress)
+    private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
+
+    fun run() {
+        loop.start()
+        loop.post {
+            HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
+            HttpServer(loop, scope, group, PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
+            outside.store.onAnswer = peers::storeAnswered
+            scope.launch { member.run() }
+            scope.launch { prepare() }
+            peers.start()
+            Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
+        }
+        loop.join()
+    }
+
+    private suspend fun prepare() {
+        while (outside.types.isEmpty()) {
+            outside.readTypes()
+            if (outside.types.isEmpty()) delay(Tuning.CLOUD_RETRY_MS)
+        }
+        while (!view.loaded) if (!view.current()) delay(Tuning.STORE_RETRY_MS)
+    }
+
+    private suspend fun client(request: HttpMessage): Response {
+        val path = request.second
+        return when {
+            path == "/checkin" -> only("POST", request) { checkin(request) }
+            path == "/v1/jobs" -> only("POST", request) { users.submit(request) }
+            path == "/ready" -> only("GET", request) { ready() }
+            path.startsWith(JOB_PATH) && path.endsWith("/abort") ->
+                only("POST", request) { users.abort(path.substring(JOB_PATH.length, path.length - "/abort".length)) }
+            path.startsWith(JOB_PATH) -> only("GET", request) { users.poll(path.substring(JOB_PATH.length)) }
+            else -> Response.error(404, "no such path")
+        }
+    }
+
+    private inline fun only(
+        method: String,
+        request: HttpMessage,
+        action: () -> Response,
+    ): Response =
+        if (request.first == method) {
+            action()
+        } else {
+            val plain = Response.error(405, "only $method is served here")
+            Response(405, plain.body, allow = method)
+        }
+
+    private fun ready(): Response =
+        when {
+            !view.loaded || outside.types.isEmpty() -> Response.error(503, "starting", Tuning.RETRY_AFTER_S)
+            peers.aloneRefused() -> Response.error(503, "the state service refuses this node alone", Tuning.RETRY_AFTER_S)
+            else -> Response(200, Json.obj { writeBooleanField("ready", true) })
+        }
+
+    private fun checkin(request: HttpMessage): Response {
+        val leader = member.leader ?: return elsewhere()
+        val report = WorkerCodec.report(request.body) ?: return Response.error(400, "not a report")
+        return when (val answer = leader.report(report)) {
+            ReportAnswer.Deposed -> {
+                member.deposedByWorker()
+                Response.error(503, "a newer leader is about", Tuning.RETRY_AFTER_S)
+            }
+
+            is ReportAnswer.Orders -> {
+                leader.kick()
+                Response(200, WorkerCodec.orders(answer.term, null, answer.orders))
+            }
+        }
+    }
+
+    private fun elsewhere(): Response {
+        val leader = member.standing.leader?.takeIf { it != settings.member }
+        return Response(421, Json.obj { leader?.let { writeStringField("steward", it) } })
+    }
+
+    private fun progress(id: String): Progress? {
+        val scheduler = member.leader?.scheduler ?: return peers.progress(id)
+        val job = scheduler.cluster.jobs[id] ?: return null
+        return Progress(job.done.cardinality(), scheduler.runningCount(job))
+    }
+
+    /** What the leader tells its siblings of each job, for display. */
+    private fun progressNote(): Map<String, Progress>? {
+        val leader = member.leader ?: return null
+        return leader.scheduler.cluster.jobs.values.associate {
+            it.spec.id to Progress(it.done.cardinality(), leader.scheduler.runningCount(it))
+        }
+    }
+
+    private companion object {
+        const val JOB_PATH = "/v1/jobs/"
+
+        /** Connections that siblings may open; each needs one or two. */
+        const val PEER_CONNECTIONS = 16
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/Outside.kt
@@ -0,0 +1,67 @@
+package mintfield.app
+
+import mintfield.core.Tuning
+import mintfield.core.model.MachineType
+import mintfield.core.model.Settings
+import mintfield.io.cloud.CloudClient
+import mintfield.io.cloud.CloudResult
+import mintfield.io.http.HttpClient
+import mintfield.io.http.parseAddress
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Pacer
+import mintfield.io.store.StoreClient
+import java.nio.channels.AsynchronousChannelGroup
+
+/** The systems outside, as this node reaches them. */
+class Outside(
+    val settings: Settings,
+    private val loop: EventLoop,
+    private val group: AsynchronousChannelGroup,
+) {
+    val store =
+        StoreClient(
+            client(settings.stateAddress, STORE_CONNECTIONS),
+            client(settings.stateAddress, 2),
+            Pacer(loop, settings.stateRps * STORE_SHARE, settings.stateRps * STORE_SHARE),
+        )
+    val cloud =
+        CloudClient(
+            client(settings.cloudAddress, 1),
+            Pacer(loop, settings.cloudRps * Tuning.CLOUD_SHARE, settings.cloudRps),
+        )
+    val types = LinkedHashMap<String, MachineType>()
+    private val workers = LinkedHashMap<String, HttpClient>(16, 0.75f, true)
+
+    suspend fun readTypes() {
+        (cloud.types() as? CloudResult.Ok)?.value?.forEach { types[it.name] = it }
+    }
+
+    fun client(
+        address: String,
+        maxIdle: Int,
+    ) = HttpClient(loop, group, requireNotNull(parseAddress(address)), maxIdle)
+
+    /** The client for a worker; one connection each is kept. */
+    fun worker(address: String): HttpClient? {
+        workers[address]?.let { return it }
+        val parsed = parseAddress(address) ?: return null
+        val fresh = HttpClient(loop, group, parsed, maxIdle = 1)
+        workers[address] = fresh
+        if (workers.size > MAX_WORKER_CLIENTS) {
+            val eldest = workers.entries.iterator().next()
+            eldest.value.closeIdle()
+            workers.remove(eldest.key)
+        }
+        return fresh
+    }
+
+    private companion object {
+        const val STORE_CONNECTIONS = 6
+
+        /** One node's part of the permitted requests. */
+        const val STORE_SHARE = 0.45
+
+        /** Workers whose connections are kept. */
+        const val MAX_WORKER_CLIENTS = 128
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -0,0 +1,120 @@
+package mintfield.core
+
+import mintfield.core.fleet.Machine
+import mintfield.core.jobs.Attempt
+import mintfield.core.jobs.AttemptState
+import mintfield.core.jobs.Job
+import mintfield.core.jobs.Shards
+import mintfield.core.model.JobSpec
+import mintfield.core.model.MachineType
+import mintfield.core.model.Settings
+import mintfield.core.model.TaskId
+
+/** What the leader knows: unfinished jobs, machines, and what occupies what. */
+class Cluster(
+    val settings: Settings,
+    /** Term at the election; later ones of the same leader are higher. */
+    val firstTerm: Long,
+    private val log: (String) -> Unit,
+) {
+    class Usage {
+        var cpus = 0.0
+        var gpus = 0.0
+    }
+
+    var term = firstTerm
+    val types = LinkedHashMap<String, MachineType>()
+    val jobs = LinkedHashMap<String, Job>()
+    val machines = LinkedHashMap<String, Machine>()
+    private val usage = HashMap<String, Usage>()
+    private val teams = settings.teams.associateBy { it.name }
+    private var attemptNumber = 0L
+
+    /** Set when something waits for workers to see a higher term. */
+    var raiseWanted = false
+
+    fun team(name: String) = teams[name]
+
+    fun usage(team: String): Usage = usage.getOrPut(team) { Usage() }
+
+    /** A new number for the attempts of one round; never used before, by any leader. */
+    fun nextAttemptNumber(): Long {
+        attemptNumber = maxOf(attemptNumber + 1, term * Tuning.ATTEMPTS_PER_TERM)
+        return attemptNumber
+    }
+
+    /** How many further tasks of [spec] its team's limit allows now. */
+    fun allowance(spec: JobSpec): Int {
+        val team = teams[spec.team] ?: return 0
+        val used = usage(spec.team)
+        var most = Int.MAX_VALUE
+        if (team.cpusMax > 0 && spec.cpus > 0) most = minOf(most, room(team.cpusMax - used.cpus, spec.cpus))
+        if (team.gpusMax > 0 && spec.gpus > 0) most = minOf(most, room(team.gpusMax - used.gpus, spec.gpus))
+        return most
+    }
+
+    private fun room(
+        free: Double,
+        each: Double,
+    ): Int = maxOf(0, Math.floor((free + 1e-6) / each).toInt())
+
+    fun occupy(
+        job: Job,
+        index: Int,
+        number: Long,
+        machine: Machine,
+        season: Long,
+    ): Attempt {
+        val a = Attempt(job, index, number, machine, season)
+        job.put(a)
+        machine.occupy(a)
+        val used = usage(job.spec.team)
+        used.cpus += job.spec.cpus
+        used.gpus += job.spec.gpus
+        return a
+    }
+
+    /** Frees what [a] occupies. Only to be called with proof that it is not, and will not come to be, on its machine. */
+    fun release(
+        a: Attempt,
+        nowMs: Long,
+        proof: String,
+    ) {
+        if (!a.live) return
+        a.moveTo(AttemptState.RELEASED, nowMs)
+        a.machine.vacate(a)
+        a.job.remove(a)
+        val used = usage(a.job.spec.team)
+        used.cpus = maxOf(0.0, used.cpus - a.job.spec.cpus)
+        used.gpus = maxOf(0.0, used.gpus - a.job.spec.gpus)
+        if (proof != DONE) log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
+    }
+
+    /** Wants [a] gone: at once if it was never sent, else by halt and proof. */
+    fun stop(
+        a: Attempt,
+        nowMs: Long,
+        why: String,
+    ) {
+        if (!a.live || a.state == AttemptState.STOPPING) return
+        if (!a.everSent) return release(a, nowMs, "never sent; $why")
+        log("stopping ${a.job.spec.id}/${a.index} attempt ${a.number} on ${a.machine.id}: $why")
+        a.moveTo(AttemptState.STOPPING, nowMs)
+    }
+
+    fun markDone(
+        job: Job,
+        index: Int,
+        nowMs: Long,
+    ) {
+        if (job.done.get(index)) return
+        job.done.set(index)
+        job.dirtyDone.putIfAbsent(Shards.of(index), nowMs)
+    }
+
+    fun taskId(a: Attempt) = TaskId(a.job.spec.id, a.index)
+
+    companion object {
+        const val DONE = "done"
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -0,0 +1,98 @@
+package mintfield.core
+
+import mintfield.core.jobs.Job
+import mintfield.core.jobs.ShardRecord
+import mintfield.core.model.Order
+
+/** One change that the leader wants in the store. */
+sealed interface Write {
+    /** Progress of a job in one shard. */
+    data class Progress(
+        val job: Job,
+        val shard: Int,
+        val record: ShardRecord,
+    ) : Write
+
+    /** The job is done: its final state replaces it and its records. */
+    data class Finish(
+        val job: Job,
+    ) : Write
+
+    /** Everything of a withdrawn job is gone from the machines: its records go. */
+    data class Sweep(
+        val job: Job,
+    ) : Write
+
+    /** Records that belong to no job any more. */
+    data class SweepKey(
+        val key: String,
+    ) : Write
+
+    data class Intend(
+        val intent: RentIntent,
+    ) : Write
+
+    data class DropIntent(
+        val plea: String,
+    ) : Write
+
+    /** Rewrites the leader key, so that its revision, the term, rises. */
+    data object RaiseTerm : Write
+}
+
+data class RentIntent(
+    val plea: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val number: Int,
+)
+
+/** A set of writes that is carried out whole or not at all, guarded by the leader key. */
+class Commit(
+    val term: Long,
+    val writes: List<Write>,
+)
+
+sealed interface CommitResult {
+    data class Done(
+        val revision: Long,
+    ) : CommitResult
+
+    /** Nothing was written, since these jobs changed. */
+    data class Conflict(
+        val jobs: Set<String>,
+    ) : CommitResult
+
+    /** Nothing was written; to be tried again. */
+    data object Refused : CommitResult
+
+    /** Whether it was or will be written is not known. The term must rise before anything relies on it. */
+    data object Unknown : CommitResult
+}
+
+/** Orders sent straight to a worker. */
+class DirectCall(
+    val machine: String,
+    val address: String,
+    val term: Long,
+    val season: Long,
+    val orders: List<Order>,
+)
+
+sealed interface CloudCall {
+    data class Rent(
+        val intent: RentIntent,
+    ) : CloudCall
+
+    data class Return(
+        val machines: List<String>,
+    ) : CloudCall
+
+    /** Page of the machine list after [after]. */
+    data class ListPage(
+        val after: String?,
+    ) : CloudCall
+
+    data object Types : CloudCall
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -0,0 +1,214 @@
+package mintfield.core
+
+/** Every constant of the program, with its unit and the reason for its value. */
+object Tuning {
+    // --- HTTP ---
+
+    /** Bytes. Longer heads are no honest client's. */
+    const val MAX_HEAD_BYTES = 8 * 1024
+
+    /** Bytes. The protocol's bound on request bodies. */
+    const val MAX_BODY_BYTES = 64 * 1024
+
+    /** Bytes. A page of the state service holds at most 512 KiB; watches have no bound, so allow several. */
+    const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+    /** Connections waiting to be accepted; a burst after an outage should not be refused by the kernel. */
+    const val ACCEPT_BACKLOG = 256
+
+    /** Milliseconds to rest after a failed accept, so that lack of sockets does not become a busy loop. */
+    const val ACCEPT_PAUSE_MS = 50L
+
+    /** Bytes read at once from a client; reports of a busy machine fit in one or two reads. */
+    const val SERVER_READ_BYTES = 4 * 1024
+
+    /** Bytes read at once from a server. */
+    const val CLIENT_READ_BYTES = 8 * 1024
+
+    /** Milliseconds that a connection may rest between requests; users poll every 5 s. */
+    const val SERVER_IDLE_MS = 60_000L
+
+    /** Milliseconds for a begun message to be whole, and for an answer to be taken. */
+    const val SERVER_SLOW_MS = 10_000L
+
+    /** Milliseconds after which a kept client connection is not trusted any more. */
+    const val CLIENT_IDLE_MS = 20_000L
+
+    /** Share of `max_sockets` given to connections that come in; the rest stays free for those going out. */
+    const val INCOMING_SOCKET_SHARE = 0.6
+
+    // --- Leadership ---
+
+    /** Milliseconds that the leader key lives without renewal. Workers' leases last 10 s in both deployments, so a
+     *  successor must be elected well before that; a shorter life risks losing the lead to a slow moment. */
+    const val LEADER_LEASE_MS = 5_000L
+
+    /** Milliseconds between renewals: three may fail before the lease ends. */
+    const val LEADER_RENEW_MS = 1_200L
+
+    /** Milliseconds taken off the lease when counting it: drift of clocks and steps of timers. */
+    const val LEASE_MARGIN_MS = 150L
+
+    /** Bound on the drift between two steady clocks (protocol: 0.05 %), doubled. */
+    const val CLOCK_DRIFT = 0.001
+
+    /** Milliseconds within which candidates spread their first try, so that they do not all write at once. */
+    const val ELECTION_SPREAD_MS = 250L
+
+    /** Milliseconds that the watch of the leader key stays open. */
+    const val LEADER_WATCH_MS = 20_000L
+
+    /** Attempt numbers of a term start at term times this; more rounds than that never fit into one term. */
+    const val ATTEMPTS_PER_TERM = 65_536L
+
+    /** Milliseconds between two raisings of the term: each costs a write and a report of every worker. */
+    const val RAISE_TERM_GAP_MS = 2_000L
+
+    // --- Store ---
+
+    /** Milliseconds to wait for an answer; it usually takes 10, at times a few hundred. */
+    const val STORE_TIMEOUT_MS = 1_500L
+
+    /** Milliseconds before a refused or failed call is tried again. */
+    const val STORE_RETRY_MS = 250L
+
+    /** Share of the permitted writes that the leader's own progress may take; the rest is for accepts. */
+    const val LEADER_WRITE_SHARE = 0.6
+
+    /** Bytes of a transaction; the protocol's bound is 64 KiB in total. */
+    const val MAX_TXN_BYTES = 56 * 1024
+
+    /** Milliseconds that the leader's watch of the jobs stays open. */
+    const val JOBS_WATCH_MS = 15_000L
+
+    /** Share of the permitted requests that one node may spend on checks that its view is current. */
+    const val CHECK_SHARE = 0.08
+
+    /** Final states kept in memory; others are read from the store when asked for. */
+    const val MAX_CACHED_FINALS = 10_000L
+
+    /** Entries asked for in one page of a listing. */
+    const val PAGE = 500
+
+    // --- Users ---
+
+    /** Submissions and aborts that may wait at one node; more are refused at once. */
+    const val MAX_WAITING_CHANGES = 256
+
+    /** Milliseconds that a change may wait for the store before its user is told to come back. */
+    const val CHANGE_PATIENCE_MS = 2_500L
+
+    /** Milliseconds that a poll may wait for a check (its user waits 2 s). */
+    const val POLL_PATIENCE_MS = 1_700L
+
+    /** Transactions with changes of users that one node has under way at once. */
+    const val CHANGE_LANES = 2
+
+    /** Seconds after which a refused user should come back. */
+    const val RETRY_AFTER_S = 1
+
+    // --- Workers ---
+
+    /** Milliseconds without a report after which a machine gets no new tasks. */
+    const val FRESH_REPORT_MS = 4_000L
+
+    /** Milliseconds to wait for the answer to a direct command. */
+    const val DIRECT_TIMEOUT_MS = 1_500L
+
+    /** Milliseconds without direct commands to a worker that left one unanswered. */
+    const val DIRECT_PAUSE_MS = 5_000L
+
+    /** Direct commands under way at once; each needs a socket. */
+    const val MAX_DIRECT_CALLS = 32
+
+    /** Milliseconds added before a worker's lease counts as certainly expired. */
+    const val WORKER_LEASE_MARGIN_MS = 500L
+
+    // --- Placement ---
+
+    /** Milliseconds between rounds; a write under way widens them further. */
+    const val ROUND_MS = 40L
+
+    /** Tasks placed in one round at most, so that one round's work and write stay bounded. */
+    const val ROUND_TASKS = 400
+
+    /** Milliseconds that a done task may wait for other changes of its shard before it is written by itself. */
+    const val DONE_BATCH_MS = 3_000L
+
+    /** Milliseconds between looks at timers of the core: silence, leases, rentals. */
+    const val TICK_MS = 250L
+
+    /** Milliseconds before a job is tried again after a failure, doubled with each up to the maximum. */
+    const val FAILURE_PAUSE_MS = 500L
+    const val FAILURE_PAUSE_MAX_MS = 30_000L
+
+    /** Failures in a row, with no success, that set a machine aside. */
+    const val SICK_FAILURES = 3
+
+    /** Machines on which a job must fail, with no success anywhere, before the job itself is blamed. */
+    const val BAD_JOB_MACHINES = 3
+
+    /** Milliseconds that a suspected machine gets no tasks. */
+    const val SICK_PAUSE_MS = 60_000L
+
+    // --- Fleet ---
+
+    /** Milliseconds of silence after which a machine is returned, if its zone is heard otherwise. */
+    const val SILENT_RETURN_MS = 25_000L
+
+    /** The same when most of its zone is silent: a cut may end. */
+    const val SILENT_ZONE_RETURN_MS = 90_000L
+
+    /** Share of a zone's machines whose silence speaks of a cut instead of dead machines. */
+    const val SILENT_ZONE_SHARE = 0.5
+
+    /** A machine that is not up after this many times its usual boot time is returned. */
+    const val BOOT_PATIENCE = 4.0
+
+    /** Milliseconds added to that. */
+    const val BOOT_PATIENCE_MS = 30_000L
+
+    /** Milliseconds between readings of the machine list. */
+    const val LIST_MS = 5_000L
+
+    /** Milliseconds between readings of the catalogue. */
+    const val TYPES_MS = 60_000L
+
+    /** Milliseconds for which "no capacity" for a type, zone and kind is believed. */
+    const val NO_CAPACITY_MS = 20_000L
+
+    /** Milliseconds to wait for an answer of the cloud. */
+    const val CLOUD_TIMEOUT_MS = 5_000L
+
+    /** Milliseconds between cloud calls that fail. */
+    const val CLOUD_RETRY_MS = 1_000L
+
+    /** Share of the permitted cloud calls that the leader uses. */
+    const val CLOUD_SHARE = 0.8
+
+    /** Machines asked for in one rental at most; a small answer comes sooner. */
+    const val RENT_AT_ONCE = 8
+
+    /** CPUs wanted per CPU in demand, when no aim speaks of the price. */
+    const val HEADROOM = 1.6
+
+    /** Milliseconds that an unneeded machine is kept. */
+    const val IDLE_RETURN_MS = 180_000L
+
+    // --- Peers ---
+
+    /** Milliseconds between notes to the siblings. */
+    const val PEER_NOTE_MS = 1_000L
+
+    /** Milliseconds to wait for a sibling. */
+    const val PEER_TIMEOUT_MS = 900L
+
+    /** Milliseconds for which a sibling's note counts. */
+    const val PEER_FRESH_MS = 3_500L
+
+    /** Milliseconds of refusal by the store after which a node whose siblings are served stops taking users. */
+    const val ALONE_REFUSED_MS = 2_000L
+
+    /** Milliseconds between summaries in the log. */
+    const val SUMMARY_MS = 10_000L
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -0,0 +1,309 @@
+package mintfield.core.fleet
+
+import mintfield.core.CloudCall
+import mintfield.core.Cluster
+import mintfield.core.RentIntent
+import mintfield.core.Tuning
+import mintfield.core.model.MachineType
+import mintfield.core.model.Shape
+
+/** A machine as the cloud lists it. */
+data class ListedMachine(
+    val id: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val stage: String,
+    val heldS: Double,
+)
+
+/** Decides what to rent and what to return, and follows each machine from the wish to its end. */
+class FleetManager(
+    private val cluster: Cluster,
+    private val log: (String) -> Unit,
+) {
+    private data class Offer(
+        val type: MachineType,
+        val zone: String,
+        val spot: Boolean,
+    )
+
+    /** Intents to write, then to carry out. */
+    val wishes = ArrayDeque<RentIntent>()
+    val intents = LinkedHashMap<String, RentIntent>()
+    val spentIntents = ArrayDeque<String>()
+    private val refusedUntil = HashMap<Offer, Long>()
+    private val goneIds = LinkedHashSet<String>()
+    private var pleaNumber = 0
+    private var lastListMs = Machine.NEVER
+    private var listAfter: String? = null
+    private var listing = false
+    private var listedOnce = false
+    private var lastTypesMs = Machine.NEVER
+    private var pausedUntilMs = Machine.NEVER
+    private var idleSince = HashMap<String, Long>()
+
+    fun typesRead(
+        types: List<MachineType>,
+        nowMs: Long,
+    ) {
+        lastTypesMs = nowMs
+        types.forEach { cluster.types[it.name] = it }
+    }
+
+    fun machine(
+        id: String,
+        typeName: String,
+        zone: String,
+        spot: Boolean,
+        nowMs: Long,
+    ): Machine? {
+        cluster.machines[id]?.let { return it }
+        if (id in goneIds) return null
+        val type = cluster.types[typeName] ?: return null
+        val m = Machine(id, type, zone, spot)
+        m.firstSeenAtMs = nowMs
+        m.unansweredTerm = cluster.firstTerm - 1
+        cluster.machines[id] = m
+        return m
+    }
+
+    /** The next call to the cloud, the most urgent first; null if there is nothing to do now. */
+    fun nextCall(nowMs: Long): CloudCall? {
+        if (nowMs < pausedUntilMs) return null
+        val back =
+            cluster.machines.values
+                .filter { it.state == MachineState.CONDEMNED }
+                .take(MAX_RETURN)
+        if (back.isNotEmpty()) {
+            back.forEach { it.moveTo(MachineState.RETURNING, nowMs) }
+            return CloudCall.Return(back.map { it.id })
+        }
+        if (!listedOnce) return CloudCall.ListPage(listAfter)
+        intents.values.firstOrNull()?.let { return CloudCall.Rent(it) }
+        if (listing || nowMs - lastListMs >= Tuning.LIST_MS) return CloudCall.ListPage(listAfter)
+        if (nowMs - lastTypesMs >= Tuning.TYPES_MS) return CloudCall.Types
+        return null
+    }
+
+    fun failed(
+        call: CloudCall,
+        nowMs: Long,
+    ) {
+        pausedUntilMs = nowMs + Tuning.CLOUD_RETRY_MS
+        if (call is CloudCall.Return) {
+            call.machines.forEach { cluster.machines[it]?.takeIf { m -> m.state == MachineState.RETURNING }?.moveTo(MachineState.CONDEMNED, nowMs) }
+        }
+    }
+
+    fun listed(
+        page: List<ListedMachine>,
+        hasNext: Boolean,
+        nowMs: Long,
+    ) {
+        for (l in page) {
+            if (l.stage == "failed" && l.id !in goneIds) {
+                val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
+                condemn(m, nowMs, "it failed by itself")
+                continue
+            }
+            val known = l.id in cluster.machines
+            val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
+            m.listedAtMs = nowMs
+            if (!known) m.firstSeenAtMs = nowMs - (l.heldS * 1000).toLong().coerceAtMost(MAX_HELD_MS)
+        }
+        listing = hasNext
+        listAfter = if (hasNext) page.lastOrNull()?.id else null
+        if (!hasNext) {
+            lastListMs = nowMs
+            listedOnce = true
+        }
+    }
+
+    fun rented(
+        intent: RentIntent,
+        ids: List<String>,
+        nowMs: Long,
+    ) {
+        intents.remove(intent.plea)
+        spentIntents.add(intent.plea)
+        ids.forEach { machine(it, intent.type, intent.zone, intent.spot, nowMs) }
+        log("rented ${ids.size} of ${intent.number} ${intent.type} in ${intent.zone}${if (intent.spot) ", spot" else ""}: $ids")
+        if (ids.size < intent.number) refuse(intent, nowMs)
+    }
+
+    fun noCapacity(
+        intent: RentIntent,
+        nowMs: Long,
+    ) {
+        intents.remove(intent.plea)
+        spentIntents.add(intent.plea)
+        refuse(intent, nowMs)
+    }
+
+    private fun refuse(
+        intent: RentIntent,
+        nowMs: Long,
+    ) {
+        val type = cluster.types[intent.type] ?: return
+        refusedUntil[Offer(type, intent.zone, intent.spot)] = nowMs + Tuning.NO_CAPACITY_MS
+    }
+
+    fun returned(
+        ids: List<String>,
+        nowMs: Long,
+    ) {
+        for (id in ids) {
+            val m = cluster.machines.remove(id) ?: continue
+            m.attempts.toList().forEach { cluster.release(it, nowMs, "${m.id} was returned") }
+            m.moveTo(MachineState.GONE, nowMs)
+            goneIds.add(id)
+            if (goneIds.size > MAX_GONE) goneIds.remove(goneIds.first())
+        }
+    }
+
+    fun condemn(
+        m: Machine,
+        nowMs: Long,
+        why: String,
+    ) {
+        if (m.state == MachineState.CONDEMNED || m.state == MachineState.RETURNING) return
+        log("returning ${m.id} (${m.type.name}, ${m.zone}${if (m.spot) ", spot" else ""}) with ${m.attempts.size} tasks: $why")
+        m.moveTo(MachineState.CONDEMNED, nowMs)
+    }
+
+    /** Looks at the clock: silence, leases certainly expired, machines that never came up, sick ones. */
+    fun tick(nowMs: Long) {
+        val silentByZone = HashMap<String, Int>()
+        val byZone = HashMap<String, Int>()
+        for (m in cluster.machines.values) {
+            if (m.heardAtMs == Machine.NEVER) continue
+            byZone.merge(m.zone, 1, Int::plus)
+            if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) silentByZone.merge(m.zone, 1, Int::plus)
+        }
+        for (m in cluster.machines.values.toList()) {
+            when (m.state) {
+                MachineState.AWAITED -> awaited(m, nowMs)
+                MachineState.UP -> if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) m.moveTo(MachineState.SILENT, nowMs)
+                MachineState.SILENT -> silent(m, nowMs, (silentByZone[m.zone] ?: 0) > Tuning.SILENT_ZONE_SHARE * (byZone[m.zone] ?: 1))
+                else -> {}
+            }
+            expire(m, nowMs)
+            if (m.state == MachineState.UP && m.failures >= Tuning.SICK_FAILURES * 2 && m.failedJobs.size >= 2) {
+                condemn(m, nowMs, "it fails what it is given")
+            }
+        }
+    }
+
+    private fun awaited(
+        m: Machine,
+        nowMs: Long,
+    ) {
+        val patience = m.type.bootS * 1000 * Tuning.BOOT_PATIENCE + Tuning.BOOT_PATIENCE_MS
+        if (nowMs - m.stateSinceMs.coerceAtLeast(m.firstSeenAtMs) > patience) condemn(m, nowMs, "it never came up")
+    }
+
+    private fun silent(
+        m: Machine,
+        nowMs: Long,
+        zoneSilent: Boolean,
+    ) {
+        val taken = m.takenAtMs
+        val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else Tuning.SILENT_RETURN_MS
+        when {
+            taken != null && nowMs > taken + Tuning.FRESH_REPORT_MS -> condemn(m, nowMs, "its notice has run out and it is silent")
+            nowMs - m.heardAtMs > limit -> condemn(m, nowMs, "silent for ${(nowMs - m.heardAtMs) / 1000} s")
+        }
+    }
+
+    /**
+     * Proof by lease: the worker has seen a term of this leader, so nobody else could have renewed its lease since, and
+     * the last answer that might have done so is longer ago than the lease can last.
+     */
+    private fun expire(
+        m: Machine,
+        nowMs: Long,
+    ) {
+        if (m.attempts.isEmpty() || m.termSeen < cluster.firstTerm || m.answeredAtMs == Machine.NEVER) return
+        val leaseMs = cluster.settings.leaseS * 1000 * (1 + Tuning.CLOCK_DRIFT) + Tuning.WORKER_LEASE_MARGIN_MS
+        if (nowMs - m.answeredAtMs <= leaseMs) return
+        for (a in m.attempts.toList()) {
+            // Planned in the season that has ended: a start still under way names that season and is refused.
+            cluster.release(a, nowMs, "lease expired, silent for ${(nowMs - m.heardAtMs) / 1000} s")
+        }
+    }
+
+    /** Compares what is wanted with what is there, and wishes for what is missing. */
+    fun size(nowMs: Long) {
+        if (!listedOnce || wishes.isNotEmpty() || intents.isNotEmpty()) return
+        var arrays = 0.0
+        var services = 0.0
+        for (job in cluster.jobs.values) {
+            if (job.withdrawn) continue
+            val want = (job.spec.tasks - job.done.cardinality()) * job.spec.cpus
+            if (job.spec.shape == Shape.SERVICE) services += want else arrays += want
+        }
+        var ordinary = 0.0
+        var spot = 0.0
+        for (m in cluster.machines.values) {
+            if (m.state == MachineState.CONDEMNED || m.state == MachineState.RETURNING || m.takenAtMs != null) continue
+            if (m.state == MachineState.SILENT) continue
+            if (m.spot) spot += m.type.cpus else ordinary += m.type.cpus
+        }
+        val ordinaryShort = services * Tuning.HEADROOM - ordinary
+        val allShort = (services + arrays) * Tuning.HEADROOM - ordinary - spot
+        if (allShort <= 0 && ordinaryShort <= 0) return returnIdle(nowMs, -allShort)
+        idleSince.clear()
+        val offer = choose(ordinaryShort > 0, nowMs) ?: return
+        val number = Math.ceil(maxOf(allShort, ordinaryShort) / offer.type.cpus).toInt().coerceIn(1, Tuning.RENT_AT_ONCE)
+        val plea = "mf-${cluster.term}-${++pleaNumber}"
+        wishes.add(RentIntent(plea, offer.type.name, offer.zone, offer.spot, number))
+        log("wishing for $number ${offer.type.name} in ${offer.zone}${if (offer.spot) ", spot" else ""}: short of ${allShort.toInt()} CPUs")
+    }
+
+    private fun choose(
+        ordinaryOnly: Boolean,
+        nowMs: Long,
+    ): Offer? {
+        val offers = ArrayList<Offer>()
+        for (t in cluster.types.values) {
+            for (z in t.zones) {
+                offers.add(Offer(t, z, false))
+                if (!ordinaryOnly) offers.add(Offer(t, z, true))
+            }
+        }
+        return offers
+            .filter { (refusedUntil[it] ?: Machine.NEVER) <= nowMs }
+            .minWithOrNull(
+                compareBy<Offer> { if (it.spot) it.type.spotPrice / it.type.cpus else it.type.price / it.type.cpus }
+                    .thenBy { it.type.bootS }
+                    .thenBy { o -> cluster.machines.values.count { it.zone == o.zone } },
+            )
+    }
+
+    private fun returnIdle(
+        nowMs: Long,
+        spare: Double,
+    ) {
+        for (m in cluster.machines.values) {
+            if (m.attempts.isNotEmpty() || m.state != MachineState.UP || m.type.cpus > spare) {
+                idleSince.remove(m.id)
+                continue
+            }
+            val since = idleSince.getOrPut(m.id) { nowMs }
+            if (nowMs - since > Tuning.IDLE_RETURN_MS) {
+                idleSince.remove(m.id)
+                return condemn(m, nowMs, "idle and not needed")
+            }
+        }
+    }
+
+    private companion object {
+        /** Names in one call; the protocol's bound. */
+        const val MAX_RETURN = 100
+
+        /** Names of returned machines that late lists must not bring back. */
+        const val MAX_GONE = 2_000
+        const val MAX_HELD_MS = 3_600_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -0,0 +1,163 @@
+package mintfield.core.fleet
+
+import mintfield.core.Tuning
+import mintfield.core.jobs.Attempt
+import mintfield.core.model.MachineType
+import mintfield.core.model.Report
+
+enum class MachineState {
+    /** Rented; its worker has not reported to this leader. */
+    AWAITED,
+
+    /** Reports. */
+    UP,
+
+    /** Has reported, but not lately. Takes no new tasks; what it holds stays its own until proof of release. */
+    SILENT,
+
+    /** To be returned: takes no new tasks. */
+    CONDEMNED,
+
+    /** Return asked of the cloud, answer awaited. */
+    RETURNING,
+
+    /** The cloud confirmed that it and everything on it are gone. */
+    GONE,
+}
+
+/** A rented machine as the leader knows it, with the attempts that occupy it. */
+class Machine(
+    val id: String,
+    val type: MachineType,
+    val zone: String,
+    val spot: Boolean,
+) {
+    var state = MachineState.AWAITED
+        private set
+    var stateSinceMs = 0L
+        private set
+    var address: String? = null
+    var season = 0L
+    var tally = 0L
+    var termSeen = 0L
+    var heardAtMs = NEVER
+
+    /** When a report of it was last answered, as counted by a renewal that may have reached it. */
+    var answeredAtMs = NEVER
+    var firstSeenAtMs = 0L
+    var listedAtMs = NEVER
+
+    /** When the cloud will take it, if it has said so. */
+    var takenAtMs: Long? = null
+
+    /**
+     * Highest term of a direct start to this machine that may still be under way. Nothing is cleared or taken for absent
+     * there until the worker has seen a higher term, since a late copy could start a task again.
+     */
+    var unansweredTerm = 0L
+    var directInFlight = false
+    var directPausedUntilMs = 0L
+
+    val attempts = LinkedHashSet<Attempt>()
+    var cpus = 0.0
+        private set
+    var gpus = 0.0
+        private set
+    var memoryGb = 0.0
+        private set
+
+    var lastReport: Report? = null
+
+    /** Failures since the last success, and the jobs that they struck. */
+    val failedJobs = HashSet<String>()
+    var failures = 0
+    var successes = 0
+    var avoidUntilMs = 0L
+
+    private val images = LinkedHashMap<String, Double>(16, 0.75f, true)
+    private var imagesGb = 0.0
+
+    val freeCpus: Double get() = type.cpus - cpus
+    val freeGpus: Double get() = type.gpus - gpus
+    val freeMemoryGb: Double get() = type.memoryGb - memoryGb
+
+    /** The only place where a machine changes its state. */
+    fun moveTo(
+        next: MachineState,
+        nowMs: Long,
+    ) {
+        if (next == state) return
+        check(next in allowed.getValue(state)) { "$id: $state to $next" }
+        state = next
+        stateSinceMs = nowMs
+    }
+
+    fun occupy(a: Attempt) {
+        if (!attempts.add(a)) return
+        cpus += a.job.spec.cpus
+        gpus += a.job.spec.gpus
+        memoryGb += a.job.spec.memoryGb
+    }
+
+    fun vacate(a: Attempt) {
+        if (!attempts.remove(a)) return
+        if (attempts.isEmpty()) {
+            cpus = 0.0
+            gpus = 0.0
+            memoryGb = 0.0
+            return
+        }
+        cpus -= a.job.spec.cpus
+        gpus -= a.job.spec.gpus
+        memoryGb -= a.job.spec.memoryGb
+    }
+
+    fun holds(
+        cpus: Double,
+        gpus: Double,
+        memoryGb: Double,
+    ) = cpus <= freeCpus + EPSILON && gpus <= freeGpus + EPSILON && memoryGb <= freeMemoryGb + EPSILON
+
+    /** Notes that [image] is on the machine, dropping the least recently used ones as the worker would. */
+    fun imageUsed(
+        image: String,
+        gb: Double,
+    ) {
+        if (images.get(image) != null) return
+        images[image] = gb
+        imagesGb += gb
+        val oldest = images.entries.iterator()
+        while (imagesGb > type.cacheGb && oldest.hasNext()) {
+            val entry = oldest.next()
+            if (entry.key == image) continue
+            imagesGb -= entry.value
+            oldest.remove()
+        }
+    }
+
+    fun hasImage(image: String) = images.containsKey(image)
+
+    fun forgetImages() {
+        images.clear()
+        imagesGb = 0.0
+    }
+
+    /** Whether a task may be planned here now. */
+    fun open(nowMs: Long): Boolean =
+        state == MachineState.UP && takenAtMs == null && nowMs >= avoidUntilMs &&
+            nowMs - heardAtMs < Tuning.FRESH_REPORT_MS
+
+    companion object {
+        const val NEVER = Long.MIN_VALUE / 4
+        private const val EPSILON = 1e-6
+        private val allowed =
+            mapOf(
+                MachineState.AWAITED to setOf(MachineState.UP, MachineState.CONDEMNED, MachineState.GONE),
+                MachineState.UP to setOf(MachineState.SILENT, MachineState.CONDEMNED, MachineState.GONE),
+                MachineState.SILENT to setOf(MachineState.UP, MachineState.CONDEMNED, MachineState.GONE),
+                MachineState.CONDEMNED to setOf(MachineState.UP, MachineState.RETURNING, MachineState.GONE),
+                MachineState.RETURNING to setOf(MachineState.CONDEMNED, MachineState.GONE),
+                MachineState.GONE to emptySet(),
+            )
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -0,0 +1,247 @@
+package mintfield.core.jobs
+
+import mintfield.core.Cluster
+import mintfield.core.Tuning
+import mintfield.core.fleet.Machine
+import mintfield.core.fleet.MachineState
+import mintfield.core.model.EndCause
+import mintfield.core.model.Order
+import mintfield.core.model.Report
+import mintfield.core.model.ReportedState
+import mintfield.core.model.ReportedTask
+import mintfield.core.model.Shape
+import mintfield.core.model.TaskId
+
+/** Brings what workers report together with what is planned, and says what to order in return. */
+class ReportHandler(
+    private val cluster: Cluster,
+    private val log: (String) -> Unit,
+) {
+    /**
+     * Takes in [report]. [checkin] tells a worker's own report from the answer to a direct command: only the former
+     * proves that the starts in the answer to the one before were either carried out or dropped.
+     */
+    fun take(
+        m: Machine,
+        report: Report,
+        checkin: Boolean,
+        nowMs: Long,
+    ): Boolean {
+        if (report.season < m.season || (report.season == m.season && report.tally <= m.tally)) return false
+        if (report.season > m.season) newSeason(m, report, nowMs)
+        m.tally = report.tally
+        m.termSeen = maxOf(m.termSeen, report.termSeen)
+        m.address = report.address
+        m.heardAtMs = nowMs
+        m.lastReport = report
+        m.takenAtMs = report.noticeS?.let { nowMs + (it * 1000).toLong() }
+        if (m.state == MachineState.AWAITED || m.state == MachineState.SILENT) m.moveTo(MachineState.UP, nowMs)
+        val seen = HashMap<TaskId, ReportedTask>(report.tasks.size * 2)
+        report.tasks.forEach { seen[it.task] = it }
+        val trusted = trusted(m, report)
+        for (a in m.attempts.toList()) {
+            val t = seen[cluster.taskId(a)]
+            if (t != null && t.attempt == a.number) present(a, t, nowMs) else absent(a, checkin, trusted, nowMs)
+        }
+        for (t in report.tasks) {
+            if (t.state == ReportedState.ENDED && t.cause == EndCause.DONE) strayDone(t, nowMs)
+        }
+        return true
+    }
+
+    /** Whether no earlier start can be carried out any more after what [report] shows. */
+    private fun trusted(
+        m: Machine,
+        report: Report,
+    ) = report.termSeen > m.unansweredTerm && !m.directInFlight
+
+    private fun newSeason(
+        m: Machine,
+        report: Report,
+        nowMs: Long,
+    ) {
+        m.attempts.filter { it.season < report.season }.forEach { cluster.release(it, nowMs, "season ${report.season} began") }
+        if (m.season != 0L) log("${m.id} is in season ${report.season}, lost its tasks")
+        m.season = report.season
+        m.tally = 0
+    }
+
+    private fun present(
+        a: Attempt,
+        t: ReportedTask,
+        nowMs: Long,
+    ) {
+        a.everSent = true
+        val spec = a.job.spec
+        when (t.state) {
+            ReportedState.PULLING -> {
+                if (a.state != AttemptState.STOPPING) a.moveTo(AttemptState.PULLING, nowMs)
+            }
+
+            ReportedState.RUNNING, ReportedState.SAVING -> {
+                a.machine.imageUsed(spec.image, spec.imageGb)
+                if (a.state == AttemptState.PLANNING) return
+                if (a.state != AttemptState.STOPPING && a.state != AttemptState.RUNNING) {
+                    a.moveTo(AttemptState.RUNNING, nowMs)
+                    if (spec.shape == Shape.SERVICE) a.job.failures = 0
+                }
+            }
+
+            ReportedState.ENDED -> {
+                ended(a, t.cause ?: EndCause.UNKNOWN, nowMs)
+            }
+        }
+    }
+
+    private fun ended(
+        a: Attempt,
+        cause: EndCause,
+        nowMs: Long,
+    ) {
+        val job = a.job
+        val m = a.machine
+        when (cause) {
+            EndCause.DONE -> {
+                m.imageUsed(job.spec.image, job.spec.imageGb)
+                m.successes++
+                m.failures = 0
+                m.failedJobs.clear()
+                job.failures = 0
+                cluster.markDone(job, a.index, nowMs)
+                cluster.release(a, nowMs, Cluster.DONE)
+            }
+
+            EndCause.STOPPED -> {
+                cluster.release(a, nowMs, "stopped")
+            }
+
+            EndCause.NO_ROOM, EndCause.IN_USE -> {
+                cluster.release(a, nowMs, "refused: $cause")
+                m.avoidUntilMs = maxOf(m.avoidUntilMs, nowMs + Tuning.FAILURE_PAUSE_MS)
+            }
+
+            EndCause.ERROR, EndCause.NO_SUCH, EndCause.UNKNOWN -> {
+                cluster.release(a, nowMs, "failed: $cause")
+                failed(job, m, nowMs)
+            }
+        }
+    }
+
+    /**
+     * A machine that fails the tasks of several jobs is set aside, since it would, being empty, draw ever more tasks.
+     * A job that fails everywhere blames no machine.
+     */
+    private fun failed(
+        job: Job,
+        m: Machine,
+        nowMs: Long,
+    ) {
+        job.failures++
+        job.failedOn.add(m.id)
+        val badJob = job.failedOn.size >= Tuning.BAD_JOB_MACHINES && job.done.isEmpty
+        val pause = Tuning.FAILURE_PAUSE_MS shl minOf(job.failures / 4, 6)
+        job.notBeforeMs = nowMs + minOf(pause, Tuning.FAILURE_PAUSE_MAX_MS)
+        if (badJob) return
+        m.failures++
+        m.failedJobs.add(job.spec.id)
+        if (m.failures >= Tuning.SICK_FAILURES && nowMs >= m.avoidUntilMs) {
+            log("${m.id} fails tasks of ${m.failedJobs.size} jobs, ${m.failures} in a row: set aside")
+            m.avoidUntilMs = nowMs + Tuning.SICK_PAUSE_MS
+        }
+    }
+
+    private fun absent(
+        a: Attempt,
+        checkin: Boolean,
+        trusted: Boolean,
+        nowMs: Long,
+    ) {
+        val gone =
+            when (a.state) {
+                AttemptState.PULLING, AttemptState.RUNNING -> "vanished"
+                AttemptState.STOPPING -> "absent"
+                else -> return
+            }
+        if (!checkin) return
+        if (trusted) {
+            cluster.release(a, nowMs, gone)
+        } else if (a.machine.unansweredTerm >= cluster.term) {
+            cluster.raiseWanted = true
+        }
+    }
+
+    /** A result counts wherever it was reached, also if the attempt is not ours any more. */
+    private fun strayDone(
+        t: ReportedTask,
+        nowMs: Long,
+    ) {
+        val job = cluster.jobs[t.task.job] ?: return
+        if (t.task.index >= job.spec.tasks || job.done.get(t.task.index)) return
+        cluster.markDone(job, t.task.index, nowMs)
+        job.attempt(t.task.index)?.let { cluster.stop(it, nowMs, "done elsewhere") }
+    }
+
+    /** Orders for [m] after its last report: halts first, then clears, then starts, so that there is room for them. */
+    fun orders(
+        m: Machine,
+        checkin: Boolean,
+        nowMs: Long,
+    ): List<Order> {
+        val report = m.lastReport ?: return emptyList()
+        val halts = ArrayList<Order>()
+        val clears = ArrayList<Order>()
+        val seen = HashSet<TaskId>(report.tasks.size * 2)
+        val trusted = trusted(m, report)
+        for (t in report.tasks) {
+            val job = cluster.jobs[t.task.job]
+            val a = job?.attempt(t.task.index)?.takeIf { it.machine === m && it.number == t.attempt }
+            if (a != null) seen.add(t.task)
+            if (t.state == ReportedState.ENDED) {
+                if (checkin && a == null && mayClear(t, job)) {
+                    if (trusted) {
+                        clears.add(Order.Clear(t.task, t.attempt))
+                    } else if (m.unansweredTerm >= cluster.term) {
+                        cluster.raiseWanted = true
+                    }
+                }
+            } else if (a == null || a.state == AttemptState.STOPPING) {
+                halts.add(Order.Halt(t.task, t.attempt, grace(a, m, nowMs)))
+            }
+        }
+        val runs = ArrayList<Order>()
+        for (a in m.attempts) {
+            val id = cluster.taskId(a)
+            if (id in seen || a.job.withdrawn || a.season != m.season) continue
+            val due = a.state == AttemptState.PLANNED || (checkin && a.state == AttemptState.STARTING)
+            if (!due) continue
+            runs.add(Order.Run(id, a.number))
+            a.everSent = true
+            if (a.state == AttemptState.PLANNED) a.moveTo(AttemptState.STARTING, nowMs)
+        }
+        return (halts + clears + runs).take(MAX_ORDERS)
+    }
+
+    private fun grace(
+        a: Attempt?,
+        m: Machine,
+        nowMs: Long,
+    ): Double {
+        val spec = a?.job?.spec ?: return 0.0
+        if (a.job.withdrawn || spec.checkpointS <= 0) return 0.0
+        if (nowMs - a.changedAtMs > spec.saveS * 2000 + GRACE_SLACK_MS) return 0.0
+        return if (m.takenAtMs == null) spec.saveS * 2 else spec.saveS
+    }
+
+    /** A done task may leave the worker's reports only when its result is in the store. */
+    private fun mayClear(
+        t: ReportedTask,
+        job: Job?,
+    ): Boolean = job == null || job.withdrawn || t.cause != EndCause.DONE || job.doneWritten.get(t.task.index)
+
+    private companion object {
+        /** Orders in one answer; keeps the line within the protocol's 64 KiB. */
+        const val MAX_ORDERS = 500
+
+        const val GRACE_SLACK_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/model/Settings.kt
@@ -0,0 +1,47 @@
+package mintfield.core.model
+
+data class Sibling(
+    val member: String,
+    val zone: String,
+    val address: String,
+)
+
+data class Team(
+    val name: String,
+    val cpus: Double,
+    val cpusMax: Double,
+    val gpus: Double,
+    val gpusMax: Double,
+)
+
+/** One aim of the operator; what does not apply to its [kind] is null. */
+data class Objective(
+    val kind: String,
+    val jobClass: String?,
+    val withinS: Double?,
+    val share: Double?,
+    val times: Double?,
+)
+
+data class Settings(
+    val member: String,
+    val zone: String,
+    val clientListen: String,
+    val internalAddress: String,
+    val siblings: List<Sibling>,
+    val cloudAddress: String,
+    val stateAddress: String,
+    val zones: List<String>,
+    val teams: List<Team>,
+    val objectives: List<Objective>,
+    val reportS: Double,
+    val leaseS: Double,
+    val cancelS: Double,
+    val stateRps: Double,
+    val stateWriteRps: Double,
+    val valueKb: Double,
+    val txnOps: Int,
+    val cloudRps: Double,
+    val listLagS: Double,
+    val maxSockets: Int,
+)
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -0,0 +1,171 @@
+package mintfield.core.placement
+
+import mintfield.core.Cluster
+import mintfield.core.Tuning
+import mintfield.core.fleet.Machine
+import mintfield.core.jobs.Attempt
+import mintfield.core.jobs.AttemptState
+import mintfield.core.jobs.Job
+import mintfield.core.jobs.Shards
+import mintfield.core.model.Priority
+import mintfield.core.model.Shape
+
+/** One round of decisions: what waits, in order of its claim, is put on the fullest machines that fit. */
+class Round(
+    private val cluster: Cluster,
+    private val log: (String) -> Unit,
+) {
+    private val urgency = Urgency(cluster)
+
+    /** Plans up to [most] tasks; returns how many were planned. */
+    fun run(
+        nowMs: Long,
+        wallMs: Long,
+        most: Int,
+    ): Int {
+        val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
+        if (waiting.isEmpty()) return 0
+        val open = cluster.machines.values.filter { it.open(nowMs) }
+        if (open.isEmpty()) return 0
+        val number = cluster.nextAttemptNumber()
+        val reserve = replicaReserve()
+        var planned = 0
+        for (job in urgency.sorted(waiting, wallMs)) {
+            if (planned >= most) break
+            planned += place(job, open, number, reserve, nowMs, most - planned)
+        }
+        return planned
+    }
+
+    /** CPUs that arrays leave free on every ordinary machine, so that a new replica need not wait. */
+    private fun replicaReserve(): Double {
+        var most = 0.0
+        for (job in cluster.jobs.values) if (job.spec.shape == Shape.SERVICE) most = maxOf(most, job.spec.cpus)
+        return most
+    }
+
+    private fun place(
+        job: Job,
+        open: List<Machine>,
+        number: Long,
+        reserve: Double,
+        nowMs: Long,
+        most: Int,
+    ): Int {
+        val spec = job.spec
+        val allowed = minOf(most, cluster.allowance(spec))
+        if (allowed <= 0) return 0
+        val zones = ZoneRule(job, open)
+        val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
+        val fitting =
+            open.filter {
+                it.type.name in job.fits && (spec.types == null || it.type.name in spec.types) &&
+                    (!it.spot || spec.spot) && zones.allows(it.zone) && !(it.id in job.failedOn && job.failedOn.size < open.size / 2)
+            }
+        val ranked =
+            fitting
+                .filter { it.holds(spec.cpus + if (it.spot) 0.0 else keep, spec.gpus, spec.memoryGb) }
+                .sortedWith(
+                    compareBy<Machine> { imageRank(it, spec.image) }
+                        .thenBy { if (spec.spot && !it.spot) 1 else 0 }
+                        .thenBy { it.freeCpus }
+                        .thenBy { it.id },
+                )
+        var planned = 0
+        val tasks = job.waiting(allowed).iterator()
+        for (m in ranked) {
+            val margin = if (m.spot) 0.0 else keep
+            while (tasks.hasNext() && m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) && zones.allows(m.zone)) {
+                plan(job, tasks.next(), number, m, nowMs)
+                zones.placed(m.zone)
+                planned++
+            }
+            if (!tasks.hasNext()) return planned
+        }
+        while (tasks.hasNext()) {
+            val m = displace(job, fitting.filter { zones.allows(it.zone) }, nowMs) ?: break
+            plan(job, tasks.next(), number, m, nowMs)
+            zones.placed(m.zone)
+            planned++
+        }
+        return planned
+    }
+
+    private fun imageRank(
+        m: Machine,
+        image: String,
+    ): Int =
+        when {
+            m.hasImage(image) -> 0
+            m.attempts.any { it.job.spec.image == image } -> 1
+            else -> 2
+        }
+
+    private fun plan(
+        job: Job,
+        index: Int,
+        number: Long,
+        m: Machine,
+        nowMs: Long,
+    ) {
+        cluster.occupy(job, index, number, m, m.season)
+        job.dirtyPlans.add(Shards.of(index))
+        if (job.spec.shape == Shape.SERVICE) {
+            log("placing ${job.spec.id}/$index on ${m.id}, image ${if (m.hasImage(job.spec.image)) "there" else "to fetch"}")
+        }
+    }
+
+    /** Stops work of lower priority on the machine where least is lost, if that makes room for one task of [job]. */
+    private fun displace(
+        job: Job,
+        fitting: List<Machine>,
+        nowMs: Long,
+    ): Machine? {
+        if (job.spec.priority >= Priority.NORMAL) return null
+        var best: List<Attempt>? = null
+        var bestCost = Double.MAX_VALUE
+        for (m in fitting) {
+            val victims = victims(job, m) ?: continue
+            val cost = victims.sumOf { (nowMs - it.changedAtMs) / 1000.0 * it.job.spec.cpus } + imageRank(m, job.spec.image) * IMAGE_COST
+            if (cost < bestCost) {
+                best = victims
+                bestCost = cost
+            }
+        }
+        val chosen = best ?: return null
+        val m = chosen.first().machine
+        chosen.forEach { cluster.stop(it, nowMs, "room for ${job.spec.id} of priority ${job.spec.priority}") }
+        return m
+    }
+
+    private fun victims(
+        job: Job,
+        m: Machine,
+    ): List<Attempt>? {
+        val spec = job.spec
+        var cpus = m.freeCpus
+        var gpus = m.freeGpus
+        var memory = m.freeMemoryGb
+        // Room of tasks that are being stopped anyway is taken already by what displaced them.
+        val candidates =
+            m.attempts
+                .filter { it.job.spec.priority > spec.priority && it.state in DISPLACEABLE }
+                .sortedByDescending { it.changedAtMs }
+        val chosen = ArrayList<Attempt>()
+        for (a in candidates) {
+            if (cpus >= spec.cpus && gpus >= spec.gpus && memory >= spec.memoryGb) break
+            chosen.add(a)
+            cpus += a.job.spec.cpus
+            gpus += a.job.spec.gpus
+            memory += a.job.spec.memoryGb
+        }
+        val enough = cpus >= spec.cpus && gpus >= spec.gpus && memory >= spec.memoryGb
+        return chosen.takeIf { enough && it.isNotEmpty() }
+    }
+
+    private companion object {
+        /** Cost, in CPU seconds of lost work, of a place where the image must still be fetched. */
+        const val IMAGE_COST = 30.0
+        val DISPLACEABLE = setOf(AttemptState.STARTING, AttemptState.PULLING, AttemptState.RUNNING)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/io/http/Channels.kt
@@ -0,0 +1,76 @@
+package mintfield.io.http
+
+import kotlinx.coroutines.suspendCancellableCoroutine
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.SocketAddress
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.nio.channels.AsynchronousSocketChannel
+import java.nio.channels.CompletionHandler
+import kotlin.coroutines.Continuation
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
+
+/** Coroutine forms of the NIO.2 channel operations. Cancelling one closes its channel. */
+private class Resume<T> : CompletionHandler<T, Continuation<T>> {
+    override fun completed(
+        result: T,
+        attachment: Continuation<T>,
+    ) = attachment.resume(result)
+
+    override fun failed(
+        exc: Throwable,
+        attachment: Continuation<T>,
+    ) = attachment.resumeWithException(if (exc is IOException) exc else IOException(exc))
+}
+
+private val resumeInt = Resume<Int>()
+private val resumeVoid = Resume<Void?>()
+private val resumeChannel = Resume<AsynchronousSocketChannel>()
+
+suspend fun AsynchronousSocketChannel.receive(into: ByteBuffer): Int =
+    suspendCancellableCoroutine { c ->
+        c.invokeOnCancellation { closeQuietly() }
+        read(into, c, resumeInt)
+    }
+
+suspend fun AsynchronousSocketChannel.sendAll(bytes: ByteBuffer) {
+    while (bytes.hasRemaining()) {
+        suspendCancellableCoroutine { c ->
+            c.invokeOnCancellation { closeQuietly() }
+            write(bytes, c, resumeInt)
+        }
+    }
+}
+
+suspend fun AsynchronousSocketChannel.open(to: SocketAddress) {
+    suspendCancellableCoroutine<Void?> { c ->
+        c.invokeOnCancellation { closeQuietly() }
+        connect(to, c, resumeVoid)
+    }
+}
+
+suspend fun AsynchronousServerSocketChannel.next(): AsynchronousSocketChannel =
+    suspendCancellableCoroutine { c ->
+        accept(c, resumeChannel)
+    }
+
+fun AsynchronousSocketChannel.closeQuietly() {
+    try {
+        close()
+    } catch (_: IOException) {
+        // Closing is all that was wanted.
+    }
+}
+
+/** `10.0.0.1:8080` as an address; IP numbers only, so that no name is ever looked up. */
+fun parseAddress(text: String): InetSocketAddress? {
+    val colon = text.lastIndexOf(':')
+    if (colon <= 0) return null
+    val port = text.substring(colon + 1).toIntOrNull()?.takeIf { it in 1..65535 } ?: return null
+    val parts = text.substring(0, colon).split('.').map { it.toIntOrNull()?.takeIf { n -> n in 0..255 } ?: return null }
+    if (parts.size != 4) return null
+    val raw = ByteArray(4) { parts[it].toByte() }
+    return InetSocketAddress(java.net.InetAddress.getByAddress(raw), port)
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/io/http/HttpServer.kt
@@ -0,0 +1,178 @@
+package mintfield.io.http
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import mintfield.core.Tuning
+import mintfield.io.json.Json
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.AsynchronousChannelGroup
+import java.nio.channels.AsynchronousServerSocketChannel
+import java.nio.channels.AsynchronousSocketChannel
+
+class Response(
+    val status: Int,
+    val body: ByteArray,
+    val retryAfterS: Int? = null,
+    val allow: String? = null,
+    val close: Boolean = false,
+) {
+    companion object {
+        fun error(
+            status: Int,
+            reason: String,
+            retryAfterS: Int? = null,
+        ) = Response(status, Json.obj { writeStringField("error", reason) }, retryAfterS)
+    }
+}
+
+/** Serves HTTP/1.1 on one address; bounded in connections, in time a peer may take, and in message size. */
+class HttpServer(
+    private val loop: EventLoop,
+    private val scope: CoroutineScope,
+    private val group: AsynchronousChannelGroup,
+    private val maxConnections: Int,
+    private val handler: suspend (HttpMessage) -> Response,
+) {
+    private var open = 0
+    private lateinit var listener: AsynchronousServerSocketChannel
+
+    val port: Int get() = (listener.localAddress as InetSocketAddress).port
+
+    fun start(address: InetSocketAddress) {
+        listener = AsynchronousServerSocketChannel.open(group)
+        listener.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+        listener.bind(address, Tuning.ACCEPT_BACKLOG)
+        scope.launch { acceptAll() }
+    }
+
+    private suspend fun acceptAll() {
+        while (true) {
+            val channel =
+                try {
+                    listener.next()
+                } catch (e: IOException) {
+                    Log.debug("accept failed: $e")
+                    delay(Tuning.ACCEPT_PAUSE_MS)
+                    continue
+                }
+            if (open >= maxConnections) {
+                channel.closeQuietly()
+                continue
+            }
+            open++
+            scope.launch {
+                try {
+                    channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                    serve(channel)
+                } catch (_: IOException) {
+                    // The peer went away; nothing is owed to it.
+                } finally {
+                    open--
+                    channel.closeQuietly()
+                }
+            }
+        }
+    }
+
+    private suspend fun serve(channel: AsynchronousSocketChannel) {
+        val parser = HttpParser(Tuning.MAX_HEAD_BYTES, Tuning.MAX_BODY_BYTES, response = false)
+        val input = ByteBuffer.allocate(Tuning.SERVER_READ_BYTES)
+        while (true) {
+            val request =
+                try {
+                    read(channel, parser, input) ?: return
+                } catch (fault: HttpFault) {
+                    write(channel, Response.error(fault.status, fault.message ?: "bad request"), close = true)
+                    return
+                }
+            val response =
+                try {
+                    handler(request)
+                } catch (e: RuntimeException) {
+                    Log.error("${request.first} ${request.second} failed: $e at ${e.stackTrace.take(5)}")
+                    Response.error(500, "internal error")
+                }
+            val close = response.close || !request.keepAlive
+            write(channel, response, close)
+            if (close) return
+        }
+    }
+
+    private suspend fun read(
+        channel: AsynchronousSocketChannel,
+        parser: HttpParser,
+        input: ByteBuffer,
+    ): HttpMessage? {
+        parser.next()?.let { return it }
+        // An idle connection may rest; one that has begun a message must finish it soon.
+        val idleTimer = loop.after(Tuning.SERVER_IDLE_MS) { channel.closeQuietly() }
+        var slowTimer: EventLoop.Timer? = null
+        try {
+            while (true) {
+                input.clear()
+                if (channel.receive(input) < 0) return null
+                input.flip()
+                parser.feed(input)
+                parser.next()?.let { return it }
+                if (slowTimer == null) slowTimer = loop.after(Tuning.SERVER_SLOW_MS) { channel.closeQuietly() }
+            }
+        } finally {
+            idleTimer.cancel()
+            slowTimer?.cancel()
+        }
+    }
+
+    private suspend fun write(
+        channel: AsynchronousSocketChannel,
+        response: Response,
+        close: Boolean,
+    ) {
+        val head = StringBuilder(128)
+        head.append("HTTP/1.1 ").append(response.status).append(' ').append(reason(response.status))
+        head.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(response.body.size)
+        response.retryAfterS?.let { head.append("\r\nRetry-After: ").append(it) }
+        response.allow?.let { head.append("\r\nAllow: ").append(it) }
+        if (close) head.append("\r\nConnection: close")
+        head.append("\r\n\r\n")
+        val timer = loop.after(Tuning.SERVER_SLOW_MS) { channel.closeQuietly() }
+        try {
+            channel.sendAll(message(head, response.body))
+        } finally {
+            timer.cancel()
+        }
+    }
+
+    private fun reason(status: Int) =
+        when (status) {
+            200 -> "OK"
+            201 -> "Created"
+            400 -> "Bad Request"
+            404 -> "Not Found"
+            405 -> "Method Not Allowed"
+            409 -> "Conflict"
+            413 -> "Content Too Large"
+            421 -> "Misdirected Request"
+            422 -> "Unprocessable Content"
+            429 -> "Too Many Requests"
+            431 -> "Request Header Fields Too Large"
+            501 -> "Not Implemented"
+            503 -> "Service Unavailable"
+            else -> "Status"
+        }
+}
+
+internal fun message(
+    head: CharSequence,
+    body: ByteArray,
+): ByteBuffer {
+    val bytes = head.toString().toByteArray(Charsets.ISO_8859_1)
+    val whole = ByteBuffer.allocate(bytes.size + body.size)
+    whole.put(bytes).put(body).flip()
+    return whole
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
@@ -0,0 +1,152 @@
+package mintfield.io.settings
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.dataformat.toml.TomlMapper
+import mintfield.core.model.Objective
+import mintfield.core.model.Settings
+import mintfield.core.model.Sibling
+import mintfield.core.model.Team
+import mintfield.io.http.parseAddress
+import java.io.File
+import java.io.IOException
+
+/** One line for the operator: which field is wrong and what was expected. */
+class SettingsFault(
+    message: String,
+) : Exception(message)
+
+/** Reads the platform's TOML. Fields that are not known are ignored. */
+object SettingsFile {
+    fun read(path: String): Settings {
+        val text =
+            try {
+                File(path).readText()
+            } catch (e: IOException) {
+                throw SettingsFault("$path: cannot be read (${e.message})")
+            }
+        return parse(text, path)
+    }
+
+    fun parse(
+        text: String,
+        name: String,
+    ): Settings {
+        val root =
+            try {
+                TomlMapper().readTree(text)
+            } catch (e: JsonProcessingException) {
+                throw SettingsFault("$name: not valid TOML (${e.originalMessage})")
+            }
+        return Reader(root, name).settings()
+    }
+
+    private class Reader(
+        private val root: JsonNode,
+        private val name: String,
+    ) {
+        fun settings() =
+            Settings(
+                member = text(root, "member"),
+                zone = text(root, "zone"),
+                clientListen = address(root, "client_listen"),
+                internalAddress = address(root, "internal_addr"),
+                siblings =
+                    list(root, "siblings").mapIndexed { i, n ->
+                        val at = "siblings[$i]."
+                        Sibling(text(n, "member", at), text(n, "zone", at), address(n, "address", at))
+                    },
+                cloudAddress = address(at("outside"), "cloud", "outside."),
+                stateAddress = address(at("outside"), "state", "outside."),
+                zones = list(at("params"), "zones").map { it.asText() },
+                teams = list(at("params"), "teams").mapIndexed { i, n -> team(n, "params.teams[$i].") },
+                objectives = list(at("params"), "objectives").mapIndexed { i, n -> objective(n, "params.objectives[$i].") },
+                reportS = number(at("params.workers"), "report_s", "params.workers."),
+                leaseS = number(at("params.workers"), "lease_s", "params.workers."),
+                cancelS = number(at("params.workers"), "cancel_s", "params.workers."),
+                stateRps = number(at("params.state"), "rps", "params.state."),
+                stateWriteRps = number(at("params.state"), "write_rps", "params.state."),
+                valueKb = number(at("params.state"), "value_kb", "params.state."),
+                txnOps = number(at("params.state"), "txn_ops", "params.state.").toInt(),
+                cloudRps = number(at("params.cloud"), "rps", "params.cloud."),
+                listLagS = number(at("params.cloud"), "list_lag_s", "params.cloud."),
+                maxSockets = number(at("params.resources"), "max_sockets", "params.resources.").toInt(),
+            )
+
+        private fun team(
+            n: JsonNode,
+            where: String,
+        ) = Team(
+            text(n, "name", where),
+            number(n, "cpus", where, zeroToo = true),
+            number(n, "cpus_max", where, zeroToo = true),
+            number(n, "gpus", where, zeroToo = true),
+            number(n, "gpus_max", where, zeroToo = true),
+        )
+
+        private fun objective(
+            n: JsonNode,
+            where: String,
+        ) = Objective(
+            text(n, "kind", where),
+            n.get("class")?.asText(),
+            optional(n, "within_s"),
+            optional(n, "share"),
+            optional(n, "times"),
+        )
+
+        private fun at(path: String): JsonNode {
+            var node = root
+            for (part in path.split('.')) node = node.get(part) ?: throw SettingsFault("$name: $path: expected a table, found nothing")
+            return node
+        }
+
+        private fun list(
+            n: JsonNode,
+            field: String,
+        ): List<JsonNode> {
+            val value = n.get(field) ?: return emptyList()
+            if (!value.isArray) throw SettingsFault("$name: $field: expected a list")
+            return value.toList()
+        }
+
+        private fun text(
+            n: JsonNode,
+            field: String,
+            where: String = "",
+        ): String {
+            val value = n.get(field) ?: throw SettingsFault("$name: $where$field: expected a string, found nothing")
+            if (!value.isTextual || value.asText().isEmpty()) throw SettingsFault("$name: $where$field: expected a string, found $value")
+            return value.asText()
+        }
+
+        private fun address(
+            n: JsonNode,
+            field: String,
+            where: String = "",
+        ): String {
+            val value = text(n, field, where)
+            if (parseAddress(value) == null) throw SettingsFault("$name: $where$field: expected an IP number and port such as 10.0.0.1:8080, found $value")
+            return value
+        }
+
+        private fun number(
+            n: JsonNode,
+            field: String,
+            where: String,
+            zeroToo: Boolean = false,
+        ): Double {
+            val value = n.get(field) ?: throw SettingsFault("$name: $where$field: expected a number, found nothing")
+            val wanted = if (zeroToo) "0 or more" else "more than 0"
+            if (!value.isNumber || !(value.asDouble() > 0 || (zeroToo && value.asDouble() == 0.0))) {
+                throw SettingsFault("$name: $where$field: expected a number of $wanted, found $value")
+            }
+            return value.asDouble()
+        }
+
+        private fun optional(
+            n: JsonNode,
+            field: String,
+        ): Double? = n.get(field)?.takeIf { it.isNumber }?.asDouble()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -0,0 +1,108 @@
+package mintfield.io.store
+
+import mintfield.core.RentIntent
+import mintfield.core.jobs.PlannedGroup
+import mintfield.core.jobs.ShardRecord
+import mintfield.core.jobs.Shards
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.FinalState
+import mintfield.core.model.Stage
+import mintfield.core.steps.JobSteps
+import mintfield.io.json.Json
+import mintfield.io.json.asList
+import mintfield.io.json.asMap
+import mintfield.io.json.bool
+import mintfield.io.json.long
+import mintfield.io.json.string
+import mintfield.io.worker.JobCodec
+
+/**
+ * How recorded outputs are written. Which steps have a part in a record is asked of the recording rule: an output that
+ * the rule does not want is left out, and computed anew by a replay.
+ */
+object Records {
+    fun live(job: AcceptedJob): ByteArray =
+        Json.obj {
+            writeFieldName("spec")
+            JobCodec.write(this, job.spec)
+            writeNumberField("at", job.acceptedAtMs)
+            if (job.withdrawn) writeBooleanField("withdrawn", true)
+            if (JobSteps.FITS in JobSteps.recorded) {
+                writeArrayFieldStart("fits")
+                job.fits.forEach { writeString(it) }
+                writeEndArray()
+            }
+        }
+
+    fun parseLive(
+        data: Map<String, Any?>,
+        mark: Long,
+        fitsAnew: (AcceptedJob) -> List<String>,
+    ): AcceptedJob? {
+        val spec = (JobCodec.parse(data["spec"]) as? JobCodec.Parsed.Valid)?.spec ?: return null
+        val fits = data["fits"].asList()?.filterIsInstance<String>()
+        val job = AcceptedJob(spec, mark, data.long("at") ?: 0, data.bool("withdrawn") ?: false, fits ?: emptyList())
+        return if (fits == null) job.copy(fits = fitsAnew(job)) else job
+    }
+
+    fun final(state: FinalState): ByteArray =
+        Json.obj {
+            writeStringField("stage", state.stage.name.lowercase())
+            writeNumberField("tasks", state.tasks)
+        }
+
+    fun parseFinal(data: Map<String, Any?>) =
+        FinalState(if (data.string("stage") == "done") Stage.DONE else Stage.WITHDRAWN, data.long("tasks")?.toInt() ?: 0)
+
+    fun shard(
+        record: ShardRecord,
+        shard: Int,
+    ): ByteArray =
+        Json.obj {
+            if (JobSteps.DONE_SET in JobSteps.recorded) writeStringField("done", Shards.encodeBits(record.done))
+            if (JobSteps.PLAN in JobSteps.recorded) {
+                writeArrayFieldStart("plan")
+                for (g in record.plans) {
+                    writeStartArray()
+                    writeString(g.machine)
+                    writeNumber(g.season)
+                    writeNumber(g.attempt)
+                    writeString(Shards.ranges(g.indices, shard * Shards.TASKS))
+                    writeEndArray()
+                }
+                writeEndArray()
+            }
+        }
+
+    fun parseShard(
+        data: Map<String, Any?>,
+        shard: Int,
+    ): ShardRecord {
+        val plans =
+            data["plan"].asList().orEmpty().mapNotNull { item ->
+                val g = item.asList()?.takeIf { it.size == 4 } ?: return@mapNotNull null
+                val indices = Shards.parseRanges(g[3] as? String ?: "", shard * Shards.TASKS)
+                PlannedGroup(g[0] as? String ?: return@mapNotNull null, Json.asLong(g[1]) ?: 0, Json.asLong(g[2]) ?: 0, indices)
+            }
+        return ShardRecord(plans, Shards.decodeBits(data.string("done") ?: ""))
+    }
+
+    fun intent(i: RentIntent): ByteArray =
+        Json.obj {
+            writeStringField("type", i.type)
+            writeStringField("zone", i.zone)
+            writeBooleanField("spot", i.spot)
+            writeNumberField("number", i.number)
+        }
+
+    fun parseIntent(
+        plea: String,
+        data: Map<String, Any?>,
+    ) = RentIntent(
+        plea,
+        data.string("type") ?: "",
+        data.string("zone") ?: "",
+        data.bool("spot") ?: false,
+        data.long("number")?.toInt() ?: 1,
+    )
+}
