--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -10,6 +10,8 @@
 
 private const val VERSION = "mintfield 0.1.0"
 
+private const val REHEARSE = "rehearse"
+
 /** Exit code for settings or arguments that cannot be used. */
 private const val BAD_USAGE = 2
 
@@ -36,6 +38,9 @@
             .build(),
     )
     spec.addSubcommand("check", check)
+    val rehearse = CommandSpec.create().name(REHEARSE).mixinStandardHelpOptions(true)
+    rehearse.usageMessage().hidden(true).description("Touches the classes of a start, for the build's class-data archive.")
+    spec.addSubcommand(REHEARSE, rehearse)
     return spec
 }
 
@@ -51,6 +56,10 @@
     CommandLine.executeHelpRequest(parsed)?.let { exitProcess(it) }
     try {
         val sub = parsed.subcommand()
+        if (sub?.commandSpec()?.name() == REHEARSE) {
+            Rehearsal.run()
+            exitProcess(0)
+        }
         if (sub != null) {
             val path: String = sub.matchedPositionalValue(0, "")
             SettingsFile.read(path)
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -72,7 +72,7 @@
             settings.member,
             refusedSinceMs == null,
             progress != null,
-            progress.orEmpty().map { (id, p) -> JobProgress(id, p.done, p.running) },
+            progress.orEmpty().entries.take(MAX_JOBS).map { (id, p) -> JobProgress(id, p.done, p.running) },
         )
     }
 
@@ -108,4 +108,9 @@
         if (now - since < Tuning.ALONE_REFUSED_MS) return false
         return heard.values.any { it.note.storeServes && now - it.atMs < Tuning.PEER_FRESH_MS }
     }
+
+    private companion object {
+        /** Jobs in one note; keeps it within the bound on request bodies. */
+        const val MAX_JOBS = 2_000
+    }
 }
