--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -41,7 +41,8 @@
     private var listedOnce = false
     private var lastTypesMs = Machine.NEVER
     private var pausedUntilMs = Machine.NEVER
-    private var idleSince = HashMap<String, Long>()
+    private var startedAtMs = Machine.NEVER
+    private val idleSince = HashMap<String, Long>()
 
     fun typesRead(
         types: List<MachineType>,
@@ -110,7 +111,9 @@
             val known = l.id in cluster.machines
             val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
             m.listedAtMs = nowMs
-            if (!known) m.firstSeenAtMs = nowMs - (l.heldS * 1000).toLong().coerceAtMost(MAX_HELD_MS)
+            // Only a machine that still boots is as old as it is listed. One that is up has merely not reported to this
+            // leader yet: judged by its age, a take-over would return the whole fleet.
+            if (!known && l.stage == "starting") m.firstSeenAtMs = nowMs - (l.heldS * 1000).toLong().coerceAtMost(MAX_HELD_MS)
         }
         listing = hasNext
         listAfter = if (hasNext) page.lastOrNull()?.id else null
@@ -174,6 +177,7 @@
 
     /** Looks at the clock: silence, leases certainly expired, machines that never came up, sick ones. */
     fun tick(nowMs: Long) {
+        if (startedAtMs == Machine.NEVER) startedAtMs = nowMs
         val silentByZone = HashMap<String, Int>()
         val byZone = HashMap<String, Int>()
         for (m in cluster.machines.values) {
@@ -200,7 +204,7 @@
         nowMs: Long,
     ) {
         val patience = m.type.bootS * 1000 * Tuning.BOOT_PATIENCE + Tuning.BOOT_PATIENCE_MS
-        if (nowMs - m.stateSinceMs.coerceAtLeast(m.firstSeenAtMs) > patience) condemn(m, nowMs, "it never came up")
+        if (nowMs - m.firstSeenAtMs > patience && nowMs - startedAtMs > Tuning.BOOT_PATIENCE_MS) condemn(m, nowMs, "it never came up")
     }
 
     private fun silent(
