--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -13,6 +13,7 @@
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.Response
 import mintfield.io.json.Json
+import mintfield.io.loop.Log
 import mintfield.io.store.Guard
 import mintfield.io.store.KeyWrite
 import mintfield.io.store.Keys
@@ -53,7 +54,10 @@
                 val shared = CompletableDeferred<Response>()
                 submitting[id] = shared
                 try {
-                    submit(parsed.spec).also { shared.complete(it) }
+                    submit(parsed.spec).also {
+                        shared.complete(it)
+                        if (it.status >= 400) Log.info("submission of $id answered ${it.status}: ${String(it.body)}")
+                    }
                 } finally {
                     submitting.remove(id)
                     shared.complete(busy("try again"))
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -4,6 +4,7 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
+import mintfield.core.jobs.RunTimes
 import mintfield.core.jobs.Shards
 import mintfield.core.model.JobSpec
 import mintfield.core.model.MachineType
@@ -23,6 +24,7 @@
     }
 
     var term = firstTerm
+    val runTimes = RunTimes()
     val types = LinkedHashMap<String, MachineType>()
     val jobs = LinkedHashMap<String, Job>()
     val machines = LinkedHashMap<String, Machine>()
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -151,6 +151,12 @@
     /** Milliseconds that a suspected machine gets no tasks. */
     const val SICK_PAUSE_MS = 60_000L
 
+    /** Weight of a job's first measured task in its class's ratio of truth to estimate; later tasks of it weigh less. */
+    const val RATIO_WEIGHT = 0.3
+
+    /** Measured tasks after which a job's own mean is believed. */
+    const val MEASURED_ENOUGH = 3
+
     // --- Fleet ---
 
     /** Milliseconds of silence after which a machine is returned, if its zone is heard otherwise. */
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -48,9 +48,6 @@
     /** Whether a start of this attempt may ever have left any controller. */
     var everSent = false
 
-    /** Tasks whose room this one takes: they are halted in the same list as its start. */
-    var displaces: List<Attempt> = emptyList()
-
     /** The only place where an attempt changes its state. */
     fun moveTo(
         next: AttemptState,
@@ -105,14 +102,15 @@
     /** Shards that have a record in the store. */
     val writtenShards = HashSet<Int>()
 
+    /** Completed tasks whose run time was seen, and the sum of those times in seconds. */
+    var measured = 0
+    var measuredS = 0.0
+
     var failures = 0
     val failedOn = HashSet<String>()
     var notBeforeMs = 0L
     var finishing = false
 
-    /** A final write without an answer may have gone through; look before writing again. */
-    var finalUnknown = false
-
     val shardCount: Int get() = (spec.tasks + Shards.TASKS - 1) / Shards.TASKS
 
     fun attempt(index: Int): Attempt? = attempts[index]
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -107,6 +107,7 @@
                 m.failures = 0
                 m.failedJobs.clear()
                 job.failures = 0
+                if (a.state == AttemptState.RUNNING) cluster.runTimes.learn(job, (nowMs - a.changedAtMs) / 1000.0)
                 cluster.markDone(job, a.index, nowMs)
                 cluster.release(a, nowMs, Cluster.DONE)
             }
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -7,6 +7,7 @@
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.Shards
+import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 
@@ -62,35 +63,49 @@
                 it.type.name in job.fits && (spec.types == null || it.type.name in spec.types) &&
                     (!it.spot || spec.spot) && zones.allows(it.zone) && !(it.id in job.failedOn && job.failedOn.size < open.size / 2)
             }
-        val ranked =
-            fitting
-                .filter { it.holds(spec.cpus + if (it.spot) 0.0 else keep, spec.gpus, spec.memoryGb) }
-                .sortedWith(
-                    compareBy<Machine> { imageRank(it, spec.image) }
-                        .thenBy { if (spec.spot && !it.spot) 1 else 0 }
-                        .thenBy { it.freeCpus }
-                        .thenBy { it.id },
-                )
-        var planned = 0
+        val ranked = fitting.sortedWith(preference(spec)).map { Rank(it, imageRank(it, spec.image)) }
         val tasks = job.waiting(allowed).iterator()
-        for (m in ranked) {
-            val margin = if (m.spot) 0.0 else keep
-            while (tasks.hasNext() && m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) && zones.allows(m.zone)) {
-                plan(job, tasks.next(), number, m, nowMs)
-                zones.placed(m.zone)
-                planned++
+        var planned = 0
+        val mayDisplace = spec.priority < Priority.NORMAL
+        // A task that may displace others prefers room made where its image is to room where it would be fetched.
+        val phases = if (mayDisplace) URGENT_PHASES else PLAIN_PHASES
+        for ((worstImage, displacing) in phases) {
+            val places = ranked.filter { it.image <= worstImage && zones.allows(it.machine.zone) }
+            if (displacing) {
+                while (tasks.hasNext()) {
+                    val m = displace(job, places.filter { zones.allows(it.machine.zone) }, nowMs) ?: break
+                    plan(job, tasks.next(), number, m, nowMs)
+                    zones.placed(m.zone)
+                    planned++
+                }
+            } else {
+                for (r in places) {
+                    val m = r.machine
+                    val margin = if (m.spot) 0.0 else keep
+                    while (tasks.hasNext() && m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) && zones.allows(m.zone)) {
+                        plan(job, tasks.next(), number, m, nowMs)
+                        zones.placed(m.zone)
+                        planned++
+                    }
+                }
             }
-            if (!tasks.hasNext()) return planned
-        }
-        while (tasks.hasNext()) {
-            val m = displace(job, fitting.filter { zones.allows(it.zone) }, nowMs) ?: break
-            plan(job, tasks.next(), number, m, nowMs)
-            zones.placed(m.zone)
-            planned++
+            if (!tasks.hasNext()) break
         }
         return planned
     }
 
+    private class Rank(
+        val machine: Machine,
+        val image: Int,
+    )
+
+    /** Where the image is, then spot machines for those who may use them, then the fullest. */
+    private fun preference(spec: JobSpec) =
+        compareBy<Machine> { imageRank(it, spec.image) }
+            .thenBy { if (spec.spot && !it.spot) 1 else 0 }
+            .thenBy { it.freeCpus }
+            .thenBy { it.id }
+
     private fun imageRank(
         m: Machine,
         image: String,
@@ -118,15 +133,14 @@
     /** Stops work of lower priority on the machine where least is lost, if that makes room for one task of [job]. */
     private fun displace(
         job: Job,
-        fitting: List<Machine>,
+        fitting: List<Rank>,
         nowMs: Long,
     ): Machine? {
-        if (job.spec.priority >= Priority.NORMAL) return null
         var best: List<Attempt>? = null
         var bestCost = Double.MAX_VALUE
-        for (m in fitting) {
-            val victims = victims(job, m) ?: continue
-            val cost = victims.sumOf { (nowMs - it.changedAtMs) / 1000.0 * it.job.spec.cpus } + imageRank(m, job.spec.image) * IMAGE_COST
+        for (r in fitting) {
+            val victims = victims(job, r.machine) ?: continue
+            val cost = victims.sumOf { (nowMs - it.changedAtMs) / 1000.0 * it.job.spec.cpus } + r.image * IMAGE_COST
             if (cost < bestCost) {
                 best = victims
                 bestCost = cost
@@ -166,6 +180,10 @@
     private companion object {
         /** Cost, in CPU seconds of lost work, of a place where the image must still be fetched. */
         const val IMAGE_COST = 30.0
+
+        /** Phases of placement: the worst rank of image allowed, and whether to displace others. */
+        val PLAIN_PHASES = listOf(2 to false)
+        val URGENT_PHASES = listOf(0 to false, 0 to true, 1 to false, 2 to false, 2 to true)
         val DISPLACEABLE = setOf(AttemptState.STARTING, AttemptState.PULLING, AttemptState.RUNNING)
     }
 }
