--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -54,6 +54,19 @@
 
     fun leaseLeftMs() = clock.leftMs(loop.nowMs())
 
+    fun resign(why: String) = deposed(why)
+
+    private val relayedAtMs = HashMap<String, Long>()
+
+    /** Whether a worker whose report was relayed had better come here itself: it did so a moment ago, or may never have tried. */
+    fun comesDirectly(machine: String): Boolean {
+        val now = loop.nowMs()
+        val last = relayedAtMs.put(machine, now)
+        val m = scheduler.cluster.machines[machine]
+        if (m != null && m.heardAtMs > 0) return now - m.heardAtMs < Tuning.RELAY_AFTER_MS && (last == null || now - last > Tuning.RELAY_AGAIN_MS)
+        return last == null || now - last > Tuning.RELAY_AGAIN_MS
+    }
+
     fun kick() {
         wake.trySend(Unit)
     }
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -27,6 +27,7 @@
     private val scope: CoroutineScope,
     private val outside: Outside,
     private val view: JobView,
+    private val announce: () -> Unit,
 ) {
     private val store = outside.store
     private val me = outside.settings.member
@@ -38,6 +39,12 @@
     var leader: Leader? = null
         private set
 
+    /** Who claimed to lead while the store could not be asked. */
+    private var heardLeader: String? = null
+
+    /** Whom workers should go to, as far as is known. */
+    val known: String? get() = if (standing.role == Role.SEEKING) heardLeader else standing.leader
+
     suspend fun run() {
         while (true) {
             try {
@@ -138,6 +145,7 @@
         val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term) { why -> depose(terms, why) }
         leader = fresh
         fresh.start()
+        announce()
     }
 
     private fun depose(
@@ -152,9 +160,20 @@
         terms.cancel()
     }
 
-    /** A worker has seen a higher term than ours. */
-    fun deposedByWorker() {
-        // The lease tells for certain; until then this node answers no reports.
-        Log.info("a worker has seen a higher term")
+    /**
+     * A sibling says that it leads. With a higher term than ours it is right, and the workers that still come here must
+     * hear of it at once, not when the store can be reached again: until then their leases hang on us.
+     */
+    fun siblingLeads(
+        sibling: String,
+        term: Long,
+    ) {
+        val mine = leader
+        if (mine != null && term > mine.scheduler.cluster.term) {
+            mine.resign("$sibling leads with term $term")
+            heardLeader = sibling
+            return
+        }
+        if (mine == null && standing.role == Role.SEEKING) heardLeader = sibling
     }
 }
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -22,7 +22,7 @@
 /** One controller: everything wired together. */
 class Node(
     private val settings: Settings,
-) {
+) : PeerLink.Owner {
     private val loop = EventLoop()
     private val scope = loop.scope()
     private val group = AsynchronousChannelGroup.withThreadPool(loop.executor)
@@ -30,10 +30,10 @@
     private val checkGapMs = (1000 / (settings.stateRps * Tuning.CHECK_SHARE)).toLong()
     private val view =
         JobView(outside.store, scope, checkGapMs) { fittingTypes(it.spec, outside.types.values) }
-    private val member = Member(loop, scope, outside, view)
+    private val member = Member(loop, scope, outside, view) { peers.announce() }
     private val changes =
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps, settings.stateWriteRps))
-    private val peers = PeerLink(loop, scope, settings, outside) { progressNote() }
+    private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress)
     private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
 
@@ -91,13 +91,27 @@
             else -> Response(200, Json.obj { writeBooleanField("ready", true) })
         }
 
-    private fun checkin(request: HttpMessage): Response {
-        val leader = member.leader ?: return elsewhere()
-        val report = WorkerCodec.report(request.body) ?: return Response.error(400, "not a report")
+    private suspend fun checkin(request: HttpMessage): Response {
+        val leader = member.leader ?: return elsewhere(request)
+        if (isolated(leader)) return Response(421, Json.obj { })
+        return answer(leader, request.body)
+    }
+
+    /**
+     * A leader past its lease goes on answering in an outage, so that the workers keep theirs. One that reaches neither
+     * the store nor a sibling is probably cut off alone; its workers had better look for another node.
+     */
+    private fun isolated(leader: Leader) = leader.leaseLeftMs() < -Tuning.ISOLATED_MS && peers.storeSilent() && !peers.heardAny()
+
+    private fun answer(
+        leader: Leader,
+        body: ByteArray,
+    ): Response {
+        val report = WorkerCodec.report(body) ?: return Response.error(400, "not a report")
         return when (val answer = leader.report(report)) {
             ReportAnswer.Deposed -> {
-                member.deposedByWorker()
-                Response.error(503, "a newer leader is about", Tuning.RETRY_AFTER_S)
+                Log.info("${report.machine} has seen term ${report.termSeen}: a newer leader is about")
+                Response(421, Json.obj { })
             }
 
             is ReportAnswer.Orders -> {
@@ -107,11 +121,29 @@
         }
     }
 
-    private fun elsewhere(): Response {
-        val leader = member.standing.leader?.takeIf { it != settings.member }
-        return Response(421, Json.obj { leader?.let { writeStringField("steward", it) } })
+    /** Not the leader: the report goes on to it, and its answer back; it says if the worker should come directly. */
+    private suspend fun elsewhere(request: HttpMessage): Response {
+        val leader = member.known?.takeIf { it != settings.member } ?: return Response(421, Json.obj { })
+        // Naming a leader that cannot be reached from here would cost the worker seconds of its lease.
+        val answer = peers.relay(leader, request.body) ?: return Response(421, Json.obj { })
+        return if (answer.status == 421) Response(421, Json.obj { writeStringField("steward", leader) }) else Response(answer.status, answer.body)
     }
 
+    override fun relayed(body: ByteArray): Response {
+        val leader = member.leader ?: return Response(503, Json.obj { })
+        if (isolated(leader)) return Response(503, Json.obj { })
+        val report = WorkerCodec.report(body) ?: return Response.error(400, "not a report")
+        if (leader.comesDirectly(report.machine)) return Response(421, Json.obj { })
+        return answer(leader, body)
+    }
+
+    override fun leadingTerm(): Long = member.leader?.scheduler?.cluster?.term ?: 0
+
+    override fun siblingLeads(
+        member: String,
+        term: Long,
+    ) = this.member.siblingLeads(member, term)
+
     private fun progress(id: String): Progress? {
         val scheduler = member.leader?.scheduler ?: return peers.progress(id)
         val job = scheduler.cluster.jobs[id] ?: return null
@@ -119,8 +151,8 @@
     }
 
     /** What the leader tells its siblings of each job, for display. */
-    private fun progressNote(): Map<String, Progress>? {
-        val leader = member.leader ?: return null
+    override fun progressNote(): Map<String, Progress> {
+        val leader = member.leader ?: return emptyMap()
         return leader.scheduler.cluster.jobs.values.associate {
             it.spec.id to Progress(it.done.cardinality(), leader.scheduler.runningCount(it))
         }
--- a/src/main/kotlin/mintfield/app/Rehearsal.kt
+++ b/src/main/kotlin/mintfield/app/Rehearsal.kt
@@ -15,6 +15,7 @@
 import mintfield.io.loop.scope
 import mintfield.io.peer.JobProgress
 import mintfield.io.peer.PeerNote
+import mintfield.io.peer.RelayedReport
 import mintfield.io.settings.SettingsFile
 import mintfield.io.store.Records
 import mintfield.io.worker.JobCodec
@@ -52,6 +53,7 @@
                 client.call("POST", "/v1/jobs/wk-000001/abort", null, 500)
                 client.call("POST", "/checkin", REPORT.toByteArray(), 500)
                 peer.call("POST", "/peer", note(), 500)
+                peer.call("POST", "/relay", relayed(), 500)
             }
         }
         Thread.sleep(LENGTH_MS)
@@ -60,6 +62,9 @@
     @OptIn(ExperimentalSerializationApi::class)
     private fun note() = ProtoBuf.encodeToByteArray(PeerNote.serializer(), PeerNote("b", true, true, listOf(JobProgress("wk-000001", 1, 2))))
 
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun relayed() = ProtoBuf.encodeToByteArray(RelayedReport.serializer(), RelayedReport("b", REPORT.toByteArray()))
+
     private fun freePort() = ServerSocket(0).use { it.localPort }
 
     /** A job from submission to its done-set, through the codecs of everything that is kept or sent. */
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -209,6 +209,18 @@
     /** Milliseconds to wait for a sibling. */
     const val PEER_TIMEOUT_MS = 900L
 
+    /** Milliseconds that a report on its way to the leader through a sibling may take; its worker waits 4 s. */
+    const val RELAY_TIMEOUT_MS = 1_500L
+
+    /** A worker heard directly within these milliseconds is told to come directly again; others may be relayed. */
+    const val RELAY_AFTER_MS = 2_500L
+
+    /** Milliseconds within which a second relayed report of an unknown worker shows that it cannot come directly. */
+    const val RELAY_AGAIN_MS = 12_000L
+
+    /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
+    const val ISOLATED_MS = 2_000L
+
     /** Milliseconds for which a sibling's note counts. */
     const val PEER_FRESH_MS = 3_500L
 
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
@@ -12,7 +13,9 @@
 import mintfield.app.Progress
 import mintfield.core.Tuning
 import mintfield.core.model.Settings
+import mintfield.io.http.HttpClient
 import mintfield.io.http.HttpMessage
+import mintfield.io.http.Reply
 import mintfield.io.http.Response
 import mintfield.io.loop.EventLoop
 
@@ -24,6 +27,22 @@
     @ProtoNumber(2) val storeServes: Boolean,
     @ProtoNumber(3) val leading: Boolean,
     @ProtoNumber(4) val progress: List<JobProgress> = emptyList(),
+    @ProtoNumber(5) val term: Long = 0,
+)
+
+/** A worker's report that came to a node which does not lead, and what the leader answers to it. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+class RelayedReport(
+    @ProtoNumber(1) val from: String,
+    @ProtoNumber(2) val body: ByteArray,
+)
+
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+class RelayAnswer(
+    @ProtoNumber(1) val status: Int,
+    @ProtoNumber(2) val body: ByteArray,
 )
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -41,8 +60,25 @@
     private val scope: CoroutineScope,
     private val settings: Settings,
     private val outside: Outside,
-    private val progressNote: () -> Map<String, Progress>?,
+    private val owner: Owner,
 ) {
+    /** The node, as its peer link sees it. */
+    interface Owner {
+        /** The term that this node leads with, or 0. */
+        fun leadingTerm(): Long
+
+        fun progressNote(): Map<String, Progress>
+
+        /** A sibling leads with [term]. */
+        fun siblingLeads(
+            member: String,
+            term: Long,
+        )
+
+        /** A report that came by way of a sibling. */
+        fun relayed(body: ByteArray): Response
+    }
+
     private class Heard(
         val note: PeerNote,
         val atMs: Long,
@@ -53,43 +89,85 @@
     private var servedAtMs = 0L
     private var refusedSinceMs: Long? = null
 
+    private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = 2) }
+
     fun start() {
-        for (sibling in settings.siblings) {
-            val client = outside.client(sibling.address, maxIdle = 1)
+        for (client in clients.values) {
             scope.launch {
                 while (true) {
-                    val bytes = ProtoBuf.encodeToByteArray(PeerNote.serializer(), note())
-                    client.call("POST", "/peer", bytes, Tuning.PEER_TIMEOUT_MS)
+                    send(client)
                     delay(Tuning.PEER_NOTE_MS)
                 }
             }
         }
     }
 
+    /** Tells all siblings now, without waiting for the next second. */
+    fun announce() {
+        for (client in clients.values) scope.launch { send(client) }
+    }
+
+    private suspend fun send(client: HttpClient) {
+        client.call("POST", "/peer", ProtoBuf.encodeToByteArray(PeerNote.serializer(), note()), Tuning.PEER_TIMEOUT_MS)
+    }
+
     private fun note(): PeerNote {
-        val progress = progressNote()
+        val term = owner.leadingTerm()
+        val progress = if (term > 0) owner.progressNote().entries.take(MAX_JOBS) else emptyList()
         return PeerNote(
             settings.member,
             refusedSinceMs == null,
-            progress != null,
-            progress.orEmpty().entries.take(MAX_JOBS).map { (id, p) -> JobProgress(id, p.done, p.running) },
+            term > 0,
+            progress.map { (id, p) -> JobProgress(id, p.done, p.running) },
+            term,
         )
     }
 
+    /** Hands a worker's report to the leader; null if the leader cannot be reached from here. */
+    suspend fun relay(
+        leader: String,
+        body: ByteArray,
+    ): RelayAnswer? {
+        val client = clients[leader] ?: return null
+        val bytes = ProtoBuf.encodeToByteArray(RelayedReport.serializer(), RelayedReport(settings.member, body))
+        val reply = client.call("POST", "/relay", bytes, Tuning.RELAY_TIMEOUT_MS)
+        if (reply !is Reply.Answer || reply.status != 200) return null
+        return decode(RelayAnswer.serializer(), reply.body)
+    }
+
     suspend fun receive(request: HttpMessage): Response {
-        if (request.second != "/peer") return Response.error(404, "no such path")
+        if (request.second != "/peer" && request.second != "/relay") return Response.error(404, "no such path")
         if (request.first != "POST") return Response.error(405, "only POST is served here")
-        val note =
-            try {
-                ProtoBuf.decodeFromByteArray(PeerNote.serializer(), request.body)
-            } catch (_: SerializationException) {
-                return Response.error(400, "not a note")
-            }
+        if (request.second == "/relay") {
+            val relayed = decode(RelayedReport.serializer(), request.body) ?: return Response.error(400, "not a report")
+            val answer = owner.relayed(relayed.body)
+            return Response(200, ProtoBuf.encodeToByteArray(RelayAnswer.serializer(), RelayAnswer(answer.status, answer.body)))
+        }
+        val note = decode(PeerNote.serializer(), request.body) ?: return Response.error(400, "not a note")
         heard[note.member] = Heard(note, loop.nowMs())
-        if (note.leading) jobs = note.progress.associate { it.id to Progress(it.done, it.running) }
+        if (note.leading) {
+            jobs = note.progress.associate { it.id to Progress(it.done, it.running) }
+            owner.siblingLeads(note.member, note.term)
+        }
         return Response(200, ByteArray(0))
     }
 
+    private fun <T> decode(
+        serializer: KSerializer<T>,
+        bytes: ByteArray,
+    ): T? =
+        try {
+            ProtoBuf.decodeFromByteArray(serializer, bytes)
+        } catch (_: SerializationException) {
+            null
+        }
+
+    /** Whether the store has not served this node for a while. */
+    fun storeSilent(): Boolean = refusedSinceMs?.let { loop.nowMs() - it > Tuning.ALONE_REFUSED_MS } ?: false
+
+    /** Whether any sibling has been heard lately. */
+    fun heardAny(): Boolean = heard.values.any { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS }
+
     fun progress(id: String): Progress? = jobs[id]
 
     fun storeAnswered(served: Boolean) {
