--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -114,6 +114,7 @@
         val intents = readAll(Keys.INTENTS)
         val records = readAll(Keys.RECORDS)
         readMachines()
+        val hints = (store.get(Keys.HINTS, urgent = true) as? StoreResult.Ok)?.value?.let { Records.parseHints(it.data) }
         // Abort and accept of other nodes may have come meanwhile; from here on the listener tells them.
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         val now = loop.nowMs()
@@ -124,6 +125,7 @@
             val (job, shard) = Keys.parseShard(r.key) ?: continue
             scheduler.replayShard(r.key, job, shard, Records.parseShard(r.data, shard), now)
         }
+        hints?.let { scheduler.recall(it) }
         scheduler.replayDone(now)
         Log.info(
             "replayed ${view.live.size} jobs, ${records.size} records, ${intents.size} intents, " +
@@ -265,6 +267,7 @@
             is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
             is Write.SweepKey -> listOf(KeyWrite.Delete(w.key))
             is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
+            is Write.Remember -> listOf(KeyWrite.Put(Keys.HINTS, Records.hints(w.hints, (settings.valueKb * 1000).toInt())))
             is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
             Write.RaiseTerm -> listOf(KeyWrite.Put(Keys.LEADER, leaderValue(settings.member, nonce), lease))
         }
--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -91,7 +91,7 @@
     ): String? {
         val team = settings.teams.firstOrNull { it.name == spec.team } ?: return "crew: unknown team ${spec.team}"
         if (fits.isEmpty()) return "a task fits no allowed machine type"
-        val atOnce = if (spec.shape == Shape.ARRAY) 1 else spec.tasks
+        val atOnce = if (spec.shape == Shape.ARRAY) 1 else spec.tasks // a gang or a service needs all of its tasks at once
         if (team.cpusMax > 0 && spec.cpus * atOnce > team.cpusMax) return "more CPUs than the limit of ${team.name}"
         if (team.gpusMax > 0 && spec.gpus * atOnce > team.gpusMax) return "more cards than the limit of ${team.name}"
         return null
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -36,6 +36,10 @@
         val plea: String,
     ) : Write
 
+    data class Remember(
+        val hints: Hints,
+    ) : Write
+
     /** Rewrites the leader key, so that its revision, the term, rises. */
     data object RaiseTerm : Write
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -45,6 +45,7 @@
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
+    private var lastHintsMs = Machine.NEVER
 
     /** Replay has ended; before, reports are answered with the term only. */
     var loaded = false
@@ -103,6 +104,22 @@
         return fleet.machine(id, type.name, zone, false, nowMs)
     }
 
+    /** Takes over what an earlier leader had learned; machines that it does not know are left out. */
+    fun recall(hints: Hints) {
+        cluster.runTimes.recall(hints.logRatio)
+        for ((id, images) in hints.machineImages) {
+            val m = cluster.machines[id] ?: continue
+            images.forEach { image -> hints.imageGb[image]?.let { m.imageUsed(image, it) } }
+        }
+    }
+
+    private fun hints(): Hints {
+        val sizes = HashMap<String, Double>()
+        cluster.machines.values.forEach { sizes.putAll(it.cachedImages) }
+        val images = cluster.machines.values.filter { it.cachedImages.isNotEmpty() }.associate { it.id to it.cachedImages.keys.toList() }
+        return Hints(sizes, images, cluster.runTimes.ratios.toMap())
+    }
+
     fun replayDone(nowMs: Long) {
         loaded = true
         for (job in cluster.jobs.values) if (job.withdrawn) job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn") }
@@ -280,12 +297,21 @@
                 left--
             }
         }
-        while (left > 0 && fleet.wishes.isNotEmpty()) {
+        if (left > 0 && fleet.wishes.isNotEmpty()) {
             writes.add(Write.Intend(fleet.wishes.first()))
             left--
-            break
+        }
+        // An intent left behind is carried out again by the next leader, at the cloud's slow pace.
+        for (plea in fleet.spentIntents) {
+            if (left <= 0) break
+            writes.add(Write.DropIntent(plea))
+            left--
         }
         addDone(writes, left, nowMs)
+        if (left > 0 && nowMs - lastHintsMs >= Tuning.HINTS_MS) {
+            lastHintsMs = nowMs
+            writes.add(Write.Remember(hints()))
+        }
         return if (writes.isEmpty()) null else Commit(cluster.term, writes)
     }
 
@@ -312,10 +338,6 @@
                 left--
             }
         }
-        while (left > 0 && fleet.spentIntents.isNotEmpty() && writes.count { it is Write.DropIntent } < fleet.spentIntents.size) {
-            writes.add(Write.DropIntent(fleet.spentIntents[writes.count { it is Write.DropIntent }]))
-            left--
-        }
         if (writes.isEmpty() && sweepKeys.isNotEmpty()) sweepKeys.take(left).forEach { writes.add(Write.SweepKey(it)) }
     }
 
@@ -362,6 +384,7 @@
                 fleet.wishes.remove(write.intent)
                 fleet.intents[write.intent.plea] = write.intent
             }
+            is Write.Remember -> {}
             is Write.DropIntent -> fleet.spentIntents.remove(write.plea)
             Write.RaiseTerm -> raised(revision, nowMs)
         }
@@ -432,7 +455,7 @@
         val by = cluster.machines.values.groupingBy { it.state }.eachCount()
         val free = cluster.machines.values.filter { it.state == MachineState.UP }.sumOf { it.freeCpus }
         val waiting = cluster.jobs.values.filter { !it.withdrawn }.sumOf { it.waitingCount }
-        val active = cluster.machines.values.sumOf { it.attempts.size }
-        return "term ${cluster.term}: ${cluster.jobs.size} jobs, $active tasks placed, $waiting waiting, machines $by, ${free.toInt()} CPUs free"
+        val attempts = cluster.machines.values.flatMap { it.attempts }.groupingBy { it.state }.eachCount()
+        return "term ${cluster.term}: ${cluster.jobs.size} jobs, attempts $attempts, $waiting waiting, machines $by, ${free.toInt()} CPUs free"
     }
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -41,10 +41,10 @@
 
     /** Milliseconds that the leader key lives without renewal. Workers' leases last 10 s in both deployments, so a
      *  successor must be elected well before that; a shorter life risks losing the lead to a slow moment. */
-    const val LEADER_LEASE_MS = 5_000L
+    const val LEADER_LEASE_MS = 3_500L
 
     /** Milliseconds between renewals: three may fail before the lease ends. */
-    const val LEADER_RENEW_MS = 1_200L
+    const val LEADER_RENEW_MS = 800L
 
     /** Milliseconds taken off the lease when counting it: drift of clocks and steps of timers. */
     const val LEASE_MARGIN_MS = 150L
@@ -87,6 +87,9 @@
     /** Final states kept in memory; others are read from the store when asked for. */
     const val MAX_CACHED_FINALS = 10_000L
 
+    /** Milliseconds between writings of what the leader has learned. */
+    const val HINTS_MS = 10_000L
+
     /** Entries asked for in one page of a listing. */
     const val PAGE = 500
 
@@ -183,6 +186,9 @@
     /** Milliseconds for which "no capacity" for a type, zone and kind is believed. */
     const val NO_CAPACITY_MS = 20_000L
 
+    /** The same at the most: each refusal in a row doubles it. */
+    const val NO_CAPACITY_MAX_MS = 80_000L
+
     /** Milliseconds to wait for an answer of the cloud. */
     const val CLOUD_TIMEOUT_MS = 5_000L
 
@@ -201,6 +207,9 @@
     /** Milliseconds that an unneeded machine is kept. */
     const val IDLE_RETURN_MS = 180_000L
 
+    /** The same when there is no unfinished job at all. */
+    const val EMPTY_RETURN_MS = 40_000L
+
     // --- Peers ---
 
     /** Milliseconds between notes to the siblings. */
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -33,6 +33,7 @@
     val intents = LinkedHashMap<String, RentIntent>()
     val spentIntents = ArrayDeque<String>()
     private val refusedUntil = HashMap<Offer, Long>()
+    private val refusalPause = HashMap<Offer, Long>()
     private val goneIds = LinkedHashSet<String>()
     private var pleaNumber = 0
     private var lastListMs = Machine.NEVER
@@ -132,6 +133,7 @@
         spentIntents.add(intent.plea)
         ids.forEach { machine(it, intent.type, intent.zone, intent.spot, nowMs) }
         log("rented ${ids.size} of ${intent.number} ${intent.type} in ${intent.zone}${if (intent.spot) ", spot" else ""}: $ids")
+        if (ids.isNotEmpty()) cluster.types[intent.type]?.let { refusalPause.remove(Offer(it, intent.zone, intent.spot)) }
         if (ids.size < intent.number) refuse(intent, nowMs)
     }
 
@@ -149,7 +151,10 @@
         nowMs: Long,
     ) {
         val type = cluster.types[intent.type] ?: return
-        refusedUntil[Offer(type, intent.zone, intent.spot)] = nowMs + Tuning.NO_CAPACITY_MS
+        val offer = Offer(type, intent.zone, intent.spot)
+        val pause = (refusalPause[offer]?.times(2) ?: Tuning.NO_CAPACITY_MS).coerceAtMost(Tuning.NO_CAPACITY_MAX_MS)
+        refusalPause[offer] = pause
+        refusedUntil[offer] = nowMs + pause
     }
 
     fun returned(
@@ -295,7 +300,8 @@
                 continue
             }
             val since = idleSince.getOrPut(m.id) { nowMs }
-            if (nowMs - since > Tuning.IDLE_RETURN_MS) {
+            val patience = if (cluster.jobs.isEmpty()) Tuning.EMPTY_RETURN_MS else Tuning.IDLE_RETURN_MS
+            if (nowMs - since > patience) {
                 idleSince.remove(m.id)
                 return condemn(m, nowMs, "idle and not needed")
             }
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -137,10 +137,8 @@
 
     fun hasImage(image: String) = images.containsKey(image)
 
-    fun forgetImages() {
-        images.clear()
-        imagesGb = 0.0
-    }
+    /** Images on the machine with their sizes, the least recently used first. */
+    val cachedImages: Map<String, Double> get() = images
 
     /** Whether a task may be planned here now. */
     fun open(nowMs: Long): Boolean =
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -112,8 +112,8 @@
                 cluster.release(a, nowMs, Cluster.DONE)
             }
 
-            EndCause.STOPPED -> {
-                cluster.release(a, nowMs, "stopped")
+            EndCause.STOPPED, EndCause.PEERS -> {
+                cluster.release(a, nowMs, if (cause == EndCause.PEERS) "others of its gang are missing" else "stopped")
             }
 
             EndCause.NO_ROOM, EndCause.IN_USE -> {
--- a/src/main/kotlin/mintfield/core/jobs/RunTimes.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RunTimes.kt
@@ -9,6 +9,11 @@
 class RunTimes {
     private val logRatio = HashMap<String, Double>()
 
+    /** Natural logarithm of truth over estimate, by class. */
+    val ratios: Map<String, Double> get() = logRatio
+
+    fun recall(ratios: Map<String, Double>) = logRatio.putAll(ratios)
+
     fun learn(
         job: Job,
         seconds: Double,
--- a/src/main/kotlin/mintfield/core/model/Job.kt
+++ b/src/main/kotlin/mintfield/core/model/Job.kt
@@ -1,6 +1,6 @@
 package mintfield.core.model
 
-enum class Shape { ARRAY, SERVICE }
+enum class Shape { ARRAY, GANG, SERVICE }
 
 /** In order of rank: the first may displace the later ones. */
 enum class Priority { PRODUCTION, HIGH, NORMAL, IDLE }
--- a/src/main/kotlin/mintfield/core/model/Report.kt
+++ b/src/main/kotlin/mintfield/core/model/Report.kt
@@ -16,7 +16,7 @@
 
 enum class ReportedState { PULLING, RUNNING, SAVING, ENDED }
 
-enum class EndCause { DONE, STOPPED, ERROR, NO_ROOM, IN_USE, NO_SUCH, UNKNOWN }
+enum class EndCause { DONE, STOPPED, ERROR, NO_ROOM, IN_USE, NO_SUCH, PEERS, UNKNOWN }
 
 data class ReportedTask(
     val task: TaskId,
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -56,6 +56,8 @@
         val spec = job.spec
         val allowed = minOf(most, cluster.allowance(spec))
         if (allowed <= 0) return 0
+        // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
+        if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
         val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
         val fitting =
@@ -63,6 +65,7 @@
                 it.type.name in job.fits && (spec.types == null || it.type.name in spec.types) &&
                     (!it.spot || spec.spot) && zones.allows(it.zone) && !(it.id in job.failedOn && job.failedOn.size < open.size / 2)
             }
+        if (spec.shape == Shape.GANG && roomFor(spec, fitting) < job.waitingCount) return 0
         val ranked = fitting.sortedWith(preference(spec)).map { Rank(it, imageRank(it, spec.image)) }
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
@@ -91,9 +94,24 @@
             }
             if (!tasks.hasNext()) break
         }
+        if (spec.shape == Shape.GANG && job.waitingCount > 0) {
+            job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "the rest of its gang has no room") }
+            return 0
+        }
         return planned
     }
 
+    private fun roomFor(
+        spec: JobSpec,
+        machines: List<Machine>,
+    ): Int =
+        machines.sumOf { m ->
+            var n = Math.floor(m.freeMemoryGb / maxOf(spec.memoryGb, 1e-6))
+            if (spec.cpus > 0) n = minOf(n, Math.floor(m.freeCpus / spec.cpus + 1e-6))
+            if (spec.gpus > 0) n = minOf(n, Math.floor(m.freeGpus / spec.gpus + 1e-6))
+            maxOf(0.0, n).toInt().coerceAtMost(spec.tasks)
+        }
+
     private class Rank(
         val machine: Machine,
         val image: Int,
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -16,6 +16,9 @@
     /** Rental intents, by plea. */
     const val INTENTS = "mf/i/"
 
+    /** What leaders have learned, for their successors. */
+    const val HINTS = "mf/hints"
+
     fun live(id: String) = LIVE + id
 
     fun final(id: String) = FINAL + id
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -1,5 +1,6 @@
 package mintfield.io.store
 
+import mintfield.core.Hints
 import mintfield.core.RentIntent
 import mintfield.core.jobs.PlannedGroup
 import mintfield.core.jobs.ShardRecord
@@ -87,6 +88,40 @@
         return ShardRecord(plans, Shards.decodeBits(data.string("done") ?: ""))
     }
 
+    /** Cut to what [maxBytes] allows: the machines that come last are left out. */
+    fun hints(
+        hints: Hints,
+        maxBytes: Int,
+    ): ByteArray {
+        var machines = hints.machineImages.entries.toList()
+        while (true) {
+            val bytes =
+                Json.obj {
+                    writeObjectFieldStart("ratio")
+                    hints.logRatio.forEach { (k, v) -> writeNumberField(k, v) }
+                    writeEndObject()
+                    writeObjectFieldStart("gb")
+                    hints.imageGb.forEach { (k, v) -> writeNumberField(k, v) }
+                    writeEndObject()
+                    writeObjectFieldStart("machines")
+                    for ((id, images) in machines) {
+                        writeArrayFieldStart(id)
+                        images.forEach { writeString(it) }
+                        writeEndArray()
+                    }
+                    writeEndObject()
+                }
+            if (bytes.size <= maxBytes || machines.isEmpty()) return bytes
+            machines = machines.take(machines.size * 3 / 4)
+        }
+    }
+
+    fun parseHints(data: Map<String, Any?>): Hints {
+        fun numbers(field: String) = data[field].asMap().orEmpty().mapNotNull { (k, v) -> Json.asDouble(v)?.let { k to it } }.toMap()
+        val machines = data["machines"].asMap().orEmpty().mapValues { it.value.asList().orEmpty().filterIsInstance<String>() }
+        return Hints(numbers("gb"), machines, numbers("ratio"))
+    }
+
     fun intent(i: RentIntent): ByteArray =
         Json.obj {
             writeStringField("type", i.type)
--- a/src/main/kotlin/mintfield/io/worker/JobCodec.kt
+++ b/src/main/kotlin/mintfield/io/worker/JobCodec.kt
@@ -59,7 +59,8 @@
             when (map["shape"]) {
                 "sweep" -> Shape.ARRAY
                 "standing" -> Shape.SERVICE
-                else -> throw Bad("shape: expected sweep or standing")
+                "ensemble" -> Shape.GANG
+                else -> throw Bad("shape: expected sweep, ensemble or standing")
             },
         priority =
             when (map["urgency"]) {
@@ -132,7 +133,14 @@
         g.writeStringField("id", s.id)
         g.writeStringField("bench", s.jobClass)
         g.writeStringField("crew", s.team)
-        g.writeStringField("shape", if (s.shape == Shape.ARRAY) "sweep" else "standing")
+        g.writeStringField(
+            "shape",
+            when (s.shape) {
+                Shape.ARRAY -> "sweep"
+                Shape.GANG -> "ensemble"
+                Shape.SERVICE -> "standing"
+            },
+        )
         g.writeStringField("urgency", s.priority.name.lowercase())
         g.writeNumberField("pieces", s.tasks)
         g.writeNumberField("vcpus", s.cpus)
--- a/src/main/kotlin/mintfield/io/worker/WorkerCodec.kt
+++ b/src/main/kotlin/mintfield/io/worker/WorkerCodec.kt
@@ -78,7 +78,7 @@
 
     private fun state(word: String?) =
         when (word) {
-            "pulling" -> ReportedState.PULLING
+            "pulling", "gathering" -> ReportedState.PULLING
             "saving" -> ReportedState.SAVING
             "ended" -> ReportedState.ENDED
             else -> ReportedState.RUNNING
@@ -93,6 +93,7 @@
             "no_room" -> EndCause.NO_ROOM
             "in_use" -> EndCause.IN_USE
             "no_such" -> EndCause.NO_SUCH
+            "mates_gone", "incomplete" -> EndCause.PEERS
             else -> EndCause.UNKNOWN
         }
 
