--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -89,6 +89,8 @@
         val used = usage(a.job.spec.team)
         used.cpus = maxOf(0.0, used.cpus - a.job.spec.cpus)
         used.gpus = maxOf(0.0, used.gpus - a.job.spec.gpus)
+        // The record still names the old place. Left so, a successor would wait for proof from a machine long gone.
+        a.job.stale.putIfAbsent(Shards.of(a.index), nowMs)
         if (proof != DONE) log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
     }
 
@@ -111,7 +113,7 @@
     ) {
         if (job.done.get(index)) return
         job.done.set(index)
-        job.dirtyDone.putIfAbsent(Shards.of(index), nowMs)
+        job.stale.putIfAbsent(Shards.of(index), nowMs)
     }
 
     fun taskId(a: Attempt) = TaskId(a.job.spec.id, a.index)
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -15,7 +15,6 @@
 import mintfield.core.model.Report
 import mintfield.core.model.Settings
 import mintfield.core.placement.Round
-import java.util.BitSet
 
 /** How a report is answered. */
 sealed interface ReportAnswer {
@@ -331,7 +330,7 @@
                 continue
             }
             if (job.allDone) continue
-            for ((shard, since) in job.dirtyDone) {
+            for ((shard, since) in job.stale) {
                 if (left <= 0) return
                 if (shard in job.dirtyPlans || nowMs - since < Tuning.DONE_BATCH_MS) continue
                 writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
@@ -430,11 +429,7 @@
         if (!planned || job.activeAttempts.none { it.state == AttemptState.PLANNING && Shards.of(it.index) == write.shard }) {
             job.dirtyPlans.remove(write.shard)
         }
-        val still = BitSet()
-        still.or(job.done)
-        still.andNot(job.doneWritten)
-        val next = still.nextSetBit(from)
-        if (next < 0 || Shards.of(next) != write.shard) job.dirtyDone.remove(write.shard) else job.dirtyDone[write.shard] = nowMs
+        if (Shards.record(job, write.shard) == write.record) job.stale.remove(write.shard) else job.stale[write.shard] = nowMs
     }
 
     // ---- the cloud ----
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -165,6 +165,10 @@
     /** Milliseconds of silence after which a machine is returned, if its zone is heard otherwise. */
     const val SILENT_RETURN_MS = 25_000L
 
+    /** Milliseconds after which a machine that a replayed plan names, and that has not reported to the new leader, is
+     *  returned: longer than a worker's lease and than it takes to find a leader. */
+    const val REPLAYED_RETURN_MS = 16_000L
+
     /** The same when most of its zone is silent: a cut may end. */
     const val SILENT_ZONE_RETURN_MS = 90_000L
 
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -186,13 +186,13 @@
         val silentByZone = HashMap<String, Int>()
         val byZone = HashMap<String, Int>()
         for (m in cluster.machines.values) {
-            if (m.heardAtMs == Machine.NEVER) continue
+            if (m.heardAtMs == Machine.NEVER && m.attempts.isEmpty()) continue
             byZone.merge(m.zone, 1, Int::plus)
             if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) silentByZone.merge(m.zone, 1, Int::plus)
         }
         for (m in cluster.machines.values.toList()) {
             when (m.state) {
-                MachineState.AWAITED -> awaited(m, nowMs)
+                MachineState.AWAITED -> awaited(m, nowMs, (silentByZone[m.zone] ?: 0) > Tuning.SILENT_ZONE_SHARE * (byZone[m.zone] ?: 1))
                 MachineState.UP -> if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) m.moveTo(MachineState.SILENT, nowMs)
                 MachineState.SILENT -> silent(m, nowMs, (silentByZone[m.zone] ?: 0) > Tuning.SILENT_ZONE_SHARE * (byZone[m.zone] ?: 1))
                 else -> {}
@@ -207,7 +207,14 @@
     private fun awaited(
         m: Machine,
         nowMs: Long,
+        zoneSilent: Boolean,
     ) {
+        // What a plan names was up once. If it died before the take-over, only its return proves that its tasks are gone.
+        if (m.attempts.isNotEmpty()) {
+            val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else Tuning.REPLAYED_RETURN_MS
+            if (nowMs - maxOf(m.firstSeenAtMs, startedAtMs) > limit) condemn(m, nowMs, "it was in use and has not reported to this leader")
+            return
+        }
         val patience = m.type.bootS * 1000 * Tuning.BOOT_PATIENCE + Tuning.BOOT_PATIENCE_MS
         if (nowMs - m.firstSeenAtMs > patience && nowMs - startedAtMs > Tuning.BOOT_PATIENCE_MS) condemn(m, nowMs, "it never came up")
     }
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -95,9 +95,11 @@
     /** Lowest number that may still wait. */
     private var firstWaiting = 0
 
-    /** Shards whose record differs from what is in the store, and since when (steady milliseconds). */
+    /** Shards with new plans: nothing of them may start before they are written. */
     val dirtyPlans = HashSet<Int>()
-    val dirtyDone = HashMap<Int, Long>()
+
+    /** Shards whose record lacks done tasks or still has released ones, and since when (steady milliseconds). */
+    val stale = HashMap<Int, Long>()
 
     /** Shards that have a record in the store. */
     val writtenShards = HashSet<Int>()
