--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -14,6 +14,7 @@
 import mintfield.core.model.Order
 import mintfield.core.model.Report
 import mintfield.core.model.Settings
+import mintfield.core.model.Shape
 import mintfield.core.placement.Round
 
 /** How a report is answered. */
@@ -273,7 +274,8 @@
         if (raiseNow || (cluster.raiseWanted && nowMs - lastRaiseMs >= Tuning.RAISE_TERM_GAP_MS)) {
             return Commit(cluster.term, listOf(Write.RaiseTerm))
         }
-        if (nowMs - lastRoundMs >= Tuning.ROUND_MS) {
+        val urgent = cluster.jobs.values.any { it.spec.shape == Shape.SERVICE && !it.withdrawn && it.waitingCount > 0 }
+        if (nowMs - lastRoundMs >= if (urgent) Tuning.ROUND_MS else Tuning.ARRAY_ROUND_MS) {
             lastRoundMs = nowMs
             round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
         }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -73,7 +73,7 @@
     const val STORE_RETRY_MS = 250L
 
     /** Share of the permitted writes that the leader's own progress may take; the rest is for accepts. */
-    const val LEADER_WRITE_SHARE = 0.6
+    const val LEADER_WRITE_SHARE = 0.8
 
     /** Bytes of a transaction; the protocol's bound is 64 KiB in total. */
     const val MAX_TXN_BYTES = 56 * 1024
@@ -132,6 +132,10 @@
     /** Milliseconds between rounds; a write under way widens them further. */
     const val ROUND_MS = 40L
 
+    /** Milliseconds between rounds when only arrays wait: their slots come free one by one, and each round costs a write
+     *  for every job that it touches. */
+    const val ARRAY_ROUND_MS = 250L
+
     /** Tasks placed in one round at most, so that one round's work and write stay bounded. */
     const val ROUND_TASKS = 400
 
@@ -151,8 +155,8 @@
     /** Machines on which a job must fail, with no success anywhere, before the job itself is blamed. */
     const val BAD_JOB_MACHINES = 3
 
-    /** Milliseconds that a suspected machine gets no tasks. */
-    const val SICK_PAUSE_MS = 60_000L
+    /** Milliseconds that a suspected machine gets no tasks, after which it is tried again. */
+    const val SICK_PAUSE_MS = 20_000L
 
     /** Weight of a job's first measured task in its class's ratio of truth to estimate; later tasks of it weigh less. */
     const val RATIO_WEIGHT = 0.3
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -198,7 +198,8 @@
                 else -> {}
             }
             expire(m, nowMs)
-            if (m.state == MachineState.UP && m.failures >= Tuning.SICK_FAILURES * 2 && m.failedJobs.size >= 2) {
+            val sick = m.blamed >= Tuning.SICK_FAILURES || (m.failures >= Tuning.SICK_FAILURES * 2 && m.failedJobs.size >= 2)
+            if (m.state == MachineState.UP && sick) {
                 condemn(m, nowMs, "it fails what it is given")
             }
         }
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -71,7 +71,9 @@
     /** Failures since the last success, and the jobs that they struck. */
     val failedJobs = HashSet<String>()
     var failures = 0
-    var successes = 0
+
+    /** Of those, the ones of jobs whose tasks succeed elsewhere. */
+    var blamed = 0
     var avoidUntilMs = 0L
 
     private val images = LinkedHashMap<String, Double>(16, 0.75f, true)
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -103,8 +103,8 @@
         when (cause) {
             EndCause.DONE -> {
                 m.imageUsed(job.spec.image, job.spec.imageGb)
-                m.successes++
                 m.failures = 0
+                m.blamed = 0
                 m.failedJobs.clear()
                 job.failures = 0
                 if (a.state == AttemptState.RUNNING) cluster.runTimes.learn(job, (nowMs - a.changedAtMs) / 1000.0)
@@ -144,6 +144,7 @@
         job.notBeforeMs = nowMs + minOf(pause, Tuning.FAILURE_PAUSE_MAX_MS)
         if (badJob) return
         m.failures++
+        if (!job.done.isEmpty) m.blamed++
         m.failedJobs.add(job.spec.id)
         if (m.failures >= Tuning.SICK_FAILURES && nowMs >= m.avoidUntilMs) {
             log("${m.id} fails tasks of ${m.failedJobs.size} jobs, ${m.failures} in a row: set aside")
