--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -91,7 +91,7 @@
         used.gpus = maxOf(0.0, used.gpus - a.job.spec.gpus)
         // The record still names the old place. Left so, a successor would wait for proof from a machine long gone.
         a.job.stale.putIfAbsent(Shards.of(a.index), nowMs)
-        if (proof != DONE) log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
+        if (proof != DONE && proof != DESCRIBED_ANEW) log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
     }
 
     /** Wants [a] gone: at once if it was never sent, else by halt and proof. */
@@ -120,5 +120,6 @@
 
     companion object {
         const val DONE = "done"
+        const val DESCRIBED_ANEW = "described anew"
     }
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -101,7 +101,7 @@
     ): Machine? {
         val type = job.fits.firstNotNullOfOrNull { cluster.types[it] } ?: cluster.types.values.firstOrNull() ?: return null
         val zone = job.spec.zone ?: type.zones.firstOrNull() ?: return null
-        return fleet.machine(id, type.name, zone, false, nowMs)
+        return fleet.machine(id, type.name, zone, false, nowMs)?.also { it.guessed = true }
     }
 
     /** Takes over what an earlier leader had learned; machines that it does not know are left out. */
@@ -183,28 +183,8 @@
         nowMs: Long,
     ): Machine? {
         val m = fleet.machine(report.machine, report.type, report.zone, report.spot, nowMs)
-        if (m == null || (m.type.name == report.type && m.zone == report.zone && m.spot == report.spot)) return m
-        return redescribe(m, report, nowMs)
-    }
-
-    /** Puts the true description in place of a guessed one, with what was planned there. */
-    private fun redescribe(
-        old: Machine,
-        report: Report,
-        nowMs: Long,
-    ): Machine? {
-        cluster.machines.remove(old.id)
-        val m = fleet.machine(report.machine, report.type, report.zone, report.spot, nowMs) ?: return null
-        m.unansweredTerm = old.unansweredTerm
-        for (a in old.attempts.toList()) {
-            val state = a.state
-            cluster.release(a, nowMs, "described anew")
-            val b = cluster.occupy(a.job, a.index, a.number, m, a.season)
-            b.everSent = a.everSent
-            if (state != AttemptState.PLANNING) b.moveTo(AttemptState.PLANNED, nowMs)
-            if (state == AttemptState.STOPPING) b.moveTo(AttemptState.STOPPING, nowMs)
-        }
-        return m
+        if (m == null || !m.guessed) return m
+        return fleet.redescribe(m, report.type, report.zone, report.spot, nowMs)
     }
 
     /** Direct calls to make now: starts that were planned since the worker's last report. */
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -173,6 +173,9 @@
      *  returned: longer than a worker's lease and than it takes to find a leader. */
     const val REPLAYED_RETURN_MS = 16_000L
 
+    /** The same if the list does not have it either: it is most likely gone, and returning it only proves that. */
+    const val UNLISTED_RETURN_MS = 5_000L
+
     /** The same when most of its zone is silent: a cut may end. */
     const val SILENT_ZONE_RETURN_MS = 90_000L
 
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -4,6 +4,7 @@
 import mintfield.core.Cluster
 import mintfield.core.RentIntent
 import mintfield.core.Tuning
+import mintfield.core.jobs.AttemptState
 import mintfield.core.model.MachineType
 import mintfield.core.model.Shape
 
@@ -70,6 +71,29 @@
         return m
     }
 
+    /** Puts the true description in place of a guessed one, with what was planned there. */
+    fun redescribe(
+        old: Machine,
+        type: String,
+        zone: String,
+        spot: Boolean,
+        nowMs: Long,
+    ): Machine? {
+        if (type !in cluster.types || old.state == MachineState.RETURNING) return old
+        cluster.machines.remove(old.id)
+        val m = machine(old.id, type, zone, spot, nowMs) ?: return null
+        m.unansweredTerm = old.unansweredTerm
+        for (a in old.attempts.toList()) {
+            val state = a.state
+            cluster.release(a, nowMs, Cluster.DESCRIBED_ANEW)
+            val b = cluster.occupy(a.job, a.index, a.number, m, a.season)
+            b.everSent = a.everSent
+            if (state != AttemptState.PLANNING) b.moveTo(AttemptState.PLANNED, nowMs)
+            if (state == AttemptState.STOPPING) b.moveTo(AttemptState.STOPPING, nowMs)
+        }
+        return m
+    }
+
     /** The next call to the cloud, the most urgent first; null if there is nothing to do now. */
     fun nextCall(nowMs: Long): CloudCall? {
         if (nowMs < pausedUntilMs) return null
@@ -112,6 +136,7 @@
             val known = l.id in cluster.machines
             val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
             m.listedAtMs = nowMs
+            if (m.guessed) redescribe(m, l.type, l.zone, l.spot, nowMs)
             // Only a machine that still boots is as old as it is listed. One that is up has merely not reported to this
             // leader yet: judged by its age, a take-over would return the whole fleet.
             if (!known && l.stage == "starting") m.firstSeenAtMs = nowMs - (l.heldS * 1000).toLong().coerceAtMost(MAX_HELD_MS)
@@ -212,7 +237,12 @@
     ) {
         // What a plan names was up once. If it died before the take-over, only its return proves that its tasks are gone.
         if (m.attempts.isNotEmpty()) {
-            val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else Tuning.REPLAYED_RETURN_MS
+            val limit =
+                when {
+                    m.guessed -> Tuning.UNLISTED_RETURN_MS
+                    zoneSilent -> Tuning.SILENT_ZONE_RETURN_MS
+                    else -> Tuning.REPLAYED_RETURN_MS
+                }
             if (nowMs - maxOf(m.firstSeenAtMs, startedAtMs) > limit) condemn(m, nowMs, "it was in use and has not reported to this leader")
             return
         }
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -44,6 +44,9 @@
 
     /** When a report of it was last answered, as counted by a renewal that may have reached it. */
     var answeredAtMs = NEVER
+
+    /** Known only by name, from a plan: type, zone and kind are guesses until a report or the list tells them. */
+    var guessed = false
     var firstSeenAtMs = 0L
     var listedAtMs = NEVER
 
--- a/src/main/kotlin/mintfield/core/placement/ZoneRule.kt
+++ b/src/main/kotlin/mintfield/core/placement/ZoneRule.kt
@@ -12,6 +12,9 @@
     private val counts = HashMap<String, Int>()
     private val only: String?
 
+    /** A task of the job may be in any zone: its machine is known by name only. */
+    private val unsure = (spec.oneZone || spec.spread) && job.activeAttempts.any { it.machine.guessed }
+
     init {
         job.activeAttempts.forEach { counts.merge(it.machine.zone, 1, Int::plus) }
         only =
@@ -31,7 +34,7 @@
             ?.key
 
     fun allows(zone: String): Boolean {
-        if (only != null && zone != only) return false
+        if (unsure || (only != null && zone != only)) return false
         return !spec.spread || (counts[zone] ?: 0) < (spec.tasks + 1) / 2
     }
 
--- /dev/null
+++ b/src/test/kotlin/mintfield/sim/SimWorld.kt
@@ -0,0 +1,424 @@
+package mintfield.sim
+
+import mintfield.Fixtures
+import mintfield.core.CloudCall
+import mintfield.core.Commit
+import mintfield.core.CommitResult
+import mintfield.core.RentIntent
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.Write
+import mintfield.core.fleet.ListedMachine
+import mintfield.core.jobs.ShardRecord
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.JobSpec
+import mintfield.core.model.Stage
+import mintfield.core.model.TaskId
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/**
+ * The core against a store, a cloud and workers with a bad network: messages come late, never or again, leaders are
+ * replaced while the old ones go on. After every event the protocol's rules are checked. All of it follows from [seed].
+ */
+class SimWorld(
+    seed: Int,
+    private val faults: Faults = Faults(),
+) {
+    /** Faults planted to see that the checks catch them. */
+    class Faults(
+        val releaseSilent: Boolean = false,
+        val forgetQuota: Boolean = false,
+        val finishEarly: Boolean = false,
+    )
+
+    private class Event(
+        val at: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
+
+    private class Lead(
+        val scheduler: Scheduler,
+    ) {
+        var committing = false
+        var renewedAt = 0L
+        val log = ArrayDeque<String>()
+    }
+
+    private val random = Random(seed)
+    private val queue = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private var order = 0L
+    var now = 100_000L
+        private set
+
+    // The store.
+    private var revision = 10L
+    private var leaderMark = 0L
+    private val live = LinkedHashMap<String, AcceptedJob>()
+    private val records = HashMap<Pair<String, Int>, ShardRecord>()
+    private val intents = LinkedHashMap<String, RentIntent>()
+    val finals = HashMap<String, Stage>()
+
+    // The cloud and the workers.
+    private val workers = LinkedHashMap<String, SimWorker>()
+    private val pleas = HashMap<String, List<String>>()
+
+    // What really happened, for the checks.
+    private val doneFor = HashSet<TaskId>()
+    private val specs = HashMap<String, JobSpec>()
+    private val withdrawnAt = HashMap<String, Long>()
+    var starts = 0
+        private set
+    private var leader: Lead? = null
+    private val zombies = ArrayList<Lead>()
+
+    init {
+        repeat(6) { addWorker(if (it % 2 == 0) "north" else "south", spot = it >= 4) }
+    }
+
+    private fun after(
+        ms: Long,
+        action: () -> Unit,
+    ) {
+        queue.add(Event(now + ms, order++, action))
+    }
+
+    private fun chance(p: Double) = random.nextDouble() < p
+
+    private fun addWorker(
+        zone: String,
+        spot: Boolean,
+    ): String {
+        val id = "m-%06d".format(workers.size)
+        workers[id] = SimWorker(id, zone, spot, now, 10_000, ::started)
+        return id
+    }
+
+    fun submit(
+        spec: JobSpec,
+        atMs: Long,
+    ) {
+        queue.add(
+            Event(100_000 + atMs, order++) {
+                specs[spec.id] = spec
+                live[spec.id] = Fixtures.accepted(spec, ++revision, now)
+                tell(spec.id)
+            },
+        )
+    }
+
+    fun abort(
+        id: String,
+        atMs: Long,
+    ) {
+        queue.add(
+            Event(100_000 + atMs, order++) {
+                val job = live[id] ?: return@Event
+                live[id] = job.copy(mark = ++revision, withdrawn = true)
+                finals[id] = Stage.WITHDRAWN
+                withdrawnAt[id] = now
+                tell(id)
+            },
+        )
+    }
+
+    /** The watch brings a job's change to whoever leads, a little later. */
+    private fun tell(id: String) {
+        (zombies + listOfNotNull(leader)).forEach { lead ->
+            after(random.nextLong(5, 300)) {
+                val job = live[id]
+                if (job == null) lead.scheduler.jobRemoved(id, now) else lead.scheduler.jobChanged(job, now)
+            }
+        }
+    }
+
+    fun run(untilMs: Long) {
+        elect()
+        tickWorkers()
+        troubles()
+        while (now < 100_000 + untilMs) {
+            val e = queue.poll() ?: break
+            now = e.at
+            e.action()
+            check()
+        }
+    }
+
+    // ---- troubles ----
+
+    private fun troubles() {
+        after(random.nextLong(500, 4_000)) {
+            when (random.nextInt(6)) {
+                0 -> elect()
+                1 -> workers.values.random(random).let { it.hungUntil = now + random.nextLong(1_000, 15_000) }
+                2 -> if (workers.values.count { it.alive } > 4) workers.values.random(random).alive = false
+                3 -> workers.values.random(random).nextReportAt = now + random.nextLong(4_000, 14_000)
+                else -> {}
+            }
+            troubles()
+        }
+    }
+
+    /** A new leader, which replays from the store, while the old one does not know yet. */
+    private fun elect() {
+        leader?.let { old ->
+            zombies.add(old)
+            after(random.nextLong(100, 20_000)) { zombies.remove(old) }
+        }
+        leaderMark = ++revision
+        val lead = newLead(leaderMark)
+        leader = lead
+        val s = lead.scheduler
+        s.types(listOf(Fixtures.box), now)
+        s.listed(listing(), false, now)
+        live.values.forEach { s.jobChanged(it, now) }
+        intents.values.forEach { s.replayIntent(it) }
+        records.forEach { (k, v) -> s.replayShard("${k.first}/${k.second}", k.first, k.second, v, now) }
+        s.replayDone(now)
+        loop(lead)
+    }
+
+    private fun newLead(term: Long): Lead {
+        val settings = if (faults.forgetQuota) Fixtures.settings.copy(teams = Fixtures.settings.teams.map { it.copy(cpusMax = 0.0) }) else Fixtures.settings
+        lateinit var lead: Lead
+        lead = Lead(Scheduler(settings, term) { lead.log.addLast("$now $it") })
+        return lead
+    }
+
+    /** As the cloud would: late, and at times without what it should show. */
+    private fun listing() =
+        workers.values.filter { it.alive && chance(0.9) }.map { ListedMachine(it.id, "box", it.zone, it.spot, "running", 60.0) }
+
+    private fun loop(lead: Lead) {
+        val current = lead === leader || lead in zombies
+        if (!current) return
+        val s = lead.scheduler
+        s.tick(now)
+        plantFault(s)
+        if (!lead.committing) s.nextCommit(now, now, 16)?.let { commit(lead, it) }
+        s.directCalls(now, 10).forEach { direct(lead, it) }
+        s.cloudCall(now)?.let { cloud(lead, it) }
+        after(random.nextLong(20, 120)) { loop(lead) }
+    }
+
+    private fun plantFault(s: Scheduler) {
+        if (faults.releaseSilent) {
+            for (m in s.cluster.machines.values) {
+                if (now - m.heardAtMs > 3_000) m.attempts.toList().forEach { s.cluster.release(it, now, "planted") }
+            }
+        }
+        if (faults.finishEarly) s.cluster.jobs.values.forEach { j -> if (!j.done.isEmpty) (0 until j.spec.tasks).forEach { i -> j.done.set(i) } }
+    }
+
+    // ---- store ----
+
+    private fun commit(
+        lead: Lead,
+        commit: Commit,
+    ) {
+        lead.committing = true
+        val fate = random.nextInt(20)
+        val applyAt = if (fate == 0) random.nextLong(2_000, 9_000) else random.nextLong(3, 60)
+        var result: CommitResult = CommitResult.Refused
+        if (fate != 1) after(applyAt) { result = apply(lead, commit) }
+        val answerAt = if (fate <= 1) 1_500L else applyAt + random.nextLong(3, 60)
+        after(answerAt) {
+            lead.committing = false
+            val told = if (fate <= 2) CommitResult.Unknown else result
+            if (told is CommitResult.Refused) readLeaderKey(lead)
+            lead.scheduler.committed(commit, told, now)
+        }
+    }
+
+    /** As the service does when the guard on the leader key fails: its own rewriting may have gone through. */
+    private fun readLeaderKey(lead: Lead) {
+        if (lead === leader && lead.scheduler.cluster.term != leaderMark) lead.scheduler.raised(leaderMark, now)
+    }
+
+    private fun apply(
+        lead: Lead,
+        commit: Commit,
+    ): CommitResult {
+        if (commit.term != leaderMark) return CommitResult.Refused
+        val changed = commit.writes.mapNotNull { jobOf(it) }.filter { live[it.spec.id]?.mark != it.mark }
+        if (changed.isNotEmpty()) return CommitResult.Conflict(changed.map { it.spec.id }.toSet())
+        val r = ++revision
+        for (w in commit.writes) {
+            when (w) {
+                is Write.Progress -> records[w.job.spec.id to w.shard] = w.record
+                is Write.Finish -> {
+                    finals[w.job.spec.id] = Stage.DONE
+                    live.remove(w.job.spec.id)
+                    tell(w.job.spec.id)
+                }
+                is Write.Sweep -> {
+                    live.remove(w.job.spec.id)
+                    tell(w.job.spec.id)
+                }
+                is Write.SweepKey -> records.keys.removeAll { "${it.first}/${it.second}" == w.key }
+                is Write.Intend -> intents[w.intent.plea] = w.intent
+                is Write.DropIntent -> intents.remove(w.plea)
+                is Write.Remember -> {}
+                Write.RaiseTerm -> if (lead === leader) leaderMark = r
+            }
+        }
+        return CommitResult.Done(r)
+    }
+
+    private fun jobOf(w: Write) =
+        when (w) {
+            is Write.Progress -> w.job
+            is Write.Finish -> w.job
+            is Write.Sweep -> w.job
+            else -> null
+        }
+
+    // ---- workers ----
+
+    private fun tickWorkers() {
+        for (w in workers.values) {
+            w.step(now)
+            if (!w.alive || w.hung) continue
+            w.present()
+            if (w.waitingSince >= 0 && now - w.waitingSince > 4_000) w.waitingSince = -1
+            if (w.waitingSince < 0 && now >= w.nextReportAt) sendReport(w)
+        }
+        workers.values.filter { it.alive }.forEach { w ->
+            w.tasks.forEach { (id, t) -> if (t.cause == mintfield.core.model.EndCause.DONE) doneFor.add(id) }
+        }
+        after(100) { tickWorkers() }
+    }
+
+    private fun sendReport(w: SimWorker) {
+        val report = w.report()
+        val sentAt = now
+        w.waitingSince = now
+        w.nextReportAt = now + random.nextLong(750, 1_250)
+        // A deposed leader goes on answering for a while, as one that is cut off from the store would.
+        val to = if (zombies.isNotEmpty() && chance(0.4)) zombies.random(random) else leader
+        val fate = random.nextInt(30)
+        if (fate == 0) return
+        val travel = if (fate == 1) random.nextLong(4_000, 30_000) else random.nextLong(1, 80)
+        after(travel) {
+            val answer = to?.scheduler?.report(report, mayAct = true, nowMs = now) ?: return@after
+            if (answer !is ReportAnswer.Orders || random.nextInt(30) == 0) return@after
+            after(random.nextLong(1, 80)) {
+                if (w.waitingSince == sentAt && now - sentAt <= 4_000) {
+                    w.waitingSince = -1
+                    w.answered(answer.term, answer.orders, sentAt, report.season)
+                    if (answer.term < w.term) w.nextReportAt = now + 500
+                }
+            }
+        }
+    }
+
+    private fun direct(
+        lead: Lead,
+        call: mintfield.core.DirectCall,
+    ) {
+        val w = workers.getValue(call.machine)
+        val fate = random.nextInt(12)
+        val travel = if (fate <= 1) random.nextLong(1_500, 40_000) else random.nextLong(1, 60)
+        var answer: mintfield.core.model.Report? = null
+        if (fate != 2) after(travel) { answer = if (w.hung) null.also { redeliver(w, call) } else w.commanded(call.term, call.season, call.orders) }
+        after(minOf(travel + random.nextLong(1, 60), 1_500)) {
+            val got = answer
+            if (got != null && fate > 3) lead.scheduler.directAnswered(call, got, now) else lead.scheduler.directUnanswered(call, true, now)
+        }
+    }
+
+    /** A hanging worker carries out what waits for it when it goes on. */
+    private fun redeliver(
+        w: SimWorker,
+        call: mintfield.core.DirectCall,
+    ) = after(w.hungUntil - now + 1) { w.commanded(call.term, call.season, call.orders) }
+
+    // ---- cloud ----
+
+    private fun cloud(
+        lead: Lead,
+        call: CloudCall,
+    ) {
+        val fleet = lead.scheduler.fleet
+        if (chance(0.1)) return fleet.failed(call, now)
+        when (call) {
+            is CloudCall.Rent -> {
+                val ids = pleas.getOrPut(call.intent.plea) { if (workers.size < 14) listOf(addWorker(call.intent.zone, call.intent.spot)) else emptyList() }
+                if (ids.isEmpty()) fleet.noCapacity(call.intent, now) else fleet.rented(call.intent, ids, now)
+            }
+            is CloudCall.Return -> {
+                call.machines.forEach { workers[it]?.alive = false }
+                if (chance(0.2)) fleet.failed(call, now) else fleet.returned(call.machines, now)
+            }
+            is CloudCall.ListPage -> fleet.listed(listing(), false, now)
+            CloudCall.Types -> fleet.typesRead(listOf(Fixtures.box), now)
+        }
+    }
+
+    // ---- the rules ----
+
+    class Broken(
+        rule: String,
+    ) : AssertionError(rule)
+
+    private fun started(
+        on: SimWorker,
+        task: TaskId,
+    ) {
+        starts++
+        val spec = specs[task.job] ?: throw Broken("$task started, but nobody submitted it")
+        workers.values.firstOrNull { it !== on && task in it.present() }?.let {
+            throw Broken("ran_twice: $task starts on ${on.id} while on ${it.id}\n${history(task)}")
+        }
+        if (on.spot && !spec.spot) throw Broken("wrong_place: $task on a spot machine")
+        if (spec.zone != null && on.zone != spec.zone) throw Broken("wrong_place: $task in ${on.zone}")
+        val others = workers.values.filter { w -> w.present().any { it.job == task.job && it != task } }
+        if (spec.oneZone && others.any { it.zone != on.zone }) throw Broken("wrong_place: $task apart from its job")
+        if (spec.spread) {
+            val here = workers.values.filter { it.zone == on.zone }.sumOf { w -> w.present().count { it.job == task.job } }
+            if (here > (spec.tasks + 1) / 2) throw Broken("wrong_place: $here of ${task.job} in ${on.zone}")
+        }
+        checkCancelled(task.job, "starts")
+    }
+
+    private fun check() {
+        for (team in Fixtures.settings.teams) {
+            if (team.cpusMax <= 0) continue
+            val used = workers.values.sumOf { w -> w.present().filter { specs[it.job]?.team == team.name }.sumOf { specs.getValue(it.job).cpus } }
+            if (used > team.cpusMax + 1e-6) throw Broken("quota: ${team.name} uses $used")
+        }
+        workers.values.forEach { w -> w.present().forEach { checkCancelled(it.job, "is on ${w.id}") } }
+        for ((id, stage) in finals) {
+            if (stage != Stage.DONE) continue
+            val spec = specs.getValue(id)
+            (0 until spec.tasks).firstOrNull { TaskId(id, it) !in doneFor }?.let { throw Broken("not_done: $id/$it") }
+            if (id in withdrawnAt) throw Broken("went_back: $id")
+        }
+    }
+
+    private fun checkCancelled(
+        id: String,
+        what: String,
+    ) {
+        val at = withdrawnAt[id] ?: return
+        if (now - at > Fixtures.settings.cancelS * 1000) throw Broken("ran_cancelled: a task of $id $what ${now - at} ms after\n${history(TaskId(id, 0))}")
+    }
+
+    private fun history(task: TaskId) =
+        (zombies + listOfNotNull(leader)).joinToString("\n") { l -> l.log.filter { task.job in it }.joinToString("\n") }
+
+    /** What the leader thinks and what the workers hold, for a failed test. */
+    fun state(): String =
+        leader!!.scheduler.summary() + "\n" +
+            leader!!.scheduler.cluster.machines.values.joinToString("\n") { m ->
+                "${m.id} ${m.state} ${m.zone} guessed=${m.guessed} term ${m.termSeen}: " + m.attempts.joinToString { "${it.job.spec.id}/${it.index} ${it.state}" }
+            } + "\n" + workers.values.joinToString("\n") { w -> "${w.id} alive=${w.alive} ${w.zone} ${w.present()}" }
+
+    val unfinished: Set<String> get() = live.filter { !it.value.withdrawn }.keys
+
+    companion object {
+        /** Milliseconds of simulated time. */
+        const val LENGTH = 120_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mintfield/sim/SimulationTest.kt
@@ -0,0 +1,72 @@
+package mintfield.sim
+
+import mintfield.Fixtures
+import mintfield.core.model.Priority
+import mintfield.core.model.Shape
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class SimulationTest {
+    private fun world(
+        seed: Int,
+        faults: SimWorld.Faults = SimWorld.Faults(),
+    ): SimWorld {
+        val w = SimWorld(seed, faults)
+        w.submit(Fixtures.spec("wk-1", tasks = 30), 0)
+        w.submit(Fixtures.spec("wk-2", tasks = 8, team = "small"), 1_000)
+        w.submit(Fixtures.spec("wk-3", shape = Shape.SERVICE, priority = Priority.HIGH, spot = false), 2_000)
+        w.submit(Fixtures.spec("wk-4", tasks = 6, oneZone = true), 3_000)
+        w.submit(Fixtures.spec("wk-5", tasks = 5, spread = true, spot = false), 3_500)
+        w.submit(Fixtures.spec("wk-6", tasks = 12, zone = "south"), 8_000)
+        w.submit(Fixtures.spec("wk-7", shape = Shape.SERVICE, priority = Priority.HIGH, spot = false, team = "small"), 9_000)
+        w.submit(Fixtures.spec("wk-8", tasks = 40), 20_000)
+        w.abort("wk-3", 30_000)
+        w.abort("wk-8", 40_000)
+        return w
+    }
+
+    @Test
+    fun `the rules hold under late, lost and repeated messages and replaced leaders`() {
+        var starts = 0
+        for (seed in 1..60) {
+            val w = world(seed)
+            try {
+                w.run(SimWorld.LENGTH)
+            } catch (e: SimWorld.Broken) {
+                throw AssertionError("seed $seed: ${e.message}", e)
+            }
+            starts += w.starts
+        }
+        assertTrue(starts > 60 * 60, "only $starts starts: the worlds did not do their work")
+    }
+
+    @Test
+    fun `arrays end in spite of everything`() {
+        for (seed in 1..20) {
+            val w = world(seed)
+            w.run(SimWorld.LENGTH * 2)
+            val left = w.unfinished.filter { it in setOf("wk-1", "wk-2", "wk-6") }
+            assertEquals(emptyList<String>(), left, "seed $seed, unfinished after four minutes:\n${w.state()}")
+        }
+    }
+
+    private fun caught(faults: SimWorld.Faults): SimWorld.Broken =
+        assertThrows(SimWorld.Broken::class.java) { for (seed in 1..30) world(seed, faults).run(SimWorld.LENGTH) }
+
+    @Test
+    fun `a leader that takes silence for proof is caught`() {
+        assertTrue(caught(SimWorld.Faults(releaseSilent = true)).message!!.startsWith("ran_twice"))
+    }
+
+    @Test
+    fun `a leader that forgets the team's limit is caught`() {
+        assertTrue(caught(SimWorld.Faults(forgetQuota = true)).message!!.startsWith("quota"))
+    }
+
+    @Test
+    fun `a leader that calls jobs done too early is caught`() {
+        assertTrue(caught(SimWorld.Faults(finishEarly = true)).message!!.startsWith("not_done"))
+    }
+}
