--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -51,6 +51,12 @@
         loop.join()
     }
 
+    /** Ends this node at once, as a kill would; for tests that run several in one process. */
+    fun stop() {
+        loop.stop()
+        group.shutdownNow()
+    }
+
     private suspend fun prepare() {
         while (outside.types.isEmpty()) {
             outside.readTypes()
--- /dev/null
+++ b/src/test/kotlin/mintfield/standin/WholeServiceTest.kt
@@ -0,0 +1,149 @@
+package mintfield.standin
+
+import mintfield.Fixtures
+import mintfield.app.Node
+import mintfield.core.model.Settings
+import mintfield.io.http.Reply
+import mintfield.io.json.string
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+
+/** Whole nodes over loopback against stand-ins: what a user sees, from submission to the end. */
+class WholeServiceTest {
+    private val standIns = StandIns()
+    private val nodes = ArrayList<Node>()
+
+    @BeforeEach
+    fun start() = standIns.start(machines = 3)
+
+    @AfterEach
+    fun stop() {
+        nodes.forEach { it.stop() }
+        standIns.loop.stop()
+    }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    private fun node(member: String): InetSocketAddress {
+        val port = freePort()
+        val settings: Settings =
+            Fixtures.settings.copy(
+                member = member,
+                clientListen = "127.0.0.1:$port",
+                internalAddress = "127.0.0.1:${freePort()}",
+                cloudAddress = "127.0.0.1:${standIns.cloudPort}",
+                stateAddress = "127.0.0.1:${standIns.storePort}",
+                stateRps = 1000.0,
+                stateWriteRps = 500.0,
+                cloudRps = 100.0,
+            )
+        val node = Node(settings)
+        nodes.add(node)
+        Thread({ node.run() }, member).also { it.isDaemon = true }.start()
+        val address = InetSocketAddress("127.0.0.1", port)
+        await("$member is ready") { ask(address, "GET", "/ready")?.status == 200 }
+        standIns.nodes = standIns.nodes + address
+        return address
+    }
+
+    private fun ask(
+        node: InetSocketAddress,
+        method: String,
+        path: String,
+        body: String? = null,
+    ): Reply.Answer? = standIns.call(node, method, path, body) as? Reply.Answer
+
+    /** Waits for what must come; how long it takes is not judged, only that it comes. */
+    private fun await(
+        what: String,
+        condition: () -> Boolean,
+    ) {
+        repeat(600) {
+            if (condition()) return
+            Thread.sleep(100)
+        }
+        throw AssertionError("in a minute it did not come about that $what")
+    }
+
+    private fun job(
+        id: String,
+        tasks: Int,
+        shape: String = "sweep",
+        team: String = "floor",
+        cpus: Double = 1.0,
+    ) = """{"id":"$id","bench":"c","crew":"$team","shape":"$shape","urgency":"high","pieces":$tasks,"vcpus":$cpus,"cards":0,"memoryGb":1,
+        "seedbag":"i","sizeGb":1,"breeds":null,"field":null,"samePlace":false,"spread":false,"gleaning":false,"growS":3,"harvestS":0,
+        "baleS":0,"dueS":null}"""
+
+    private fun stage(
+        node: InetSocketAddress,
+        id: String,
+    ) = ask(node, "GET", "/v1/jobs/$id")?.takeIf { it.status == 200 }?.json?.string("stage")
+
+    @Test
+    fun `an array runs to its end, once each, and stays known`() {
+        val a = node("plot-0")
+        assertEquals(201, ask(a, "POST", "/v1/jobs", job("wk-000001", 20))!!.status)
+        assertEquals(200, ask(a, "POST", "/v1/jobs", job("wk-000001", 20))!!.status)
+        await("the job is done") { stage(a, "wk-000001") == "done" }
+        val started = standIns.workers.flatMap { it.started }
+        assertEquals(20, started.size)
+        assertEquals(20, started.toSet().size)
+        val again = ask(a, "POST", "/v1/jobs", job("wk-000001", -5))!!
+        assertEquals(200, again.status)
+        assertEquals("done", again.json.string("stage"))
+        assertEquals("done", ask(a, "POST", "/v1/jobs/wk-000001/abort")!!.json.string("stage"))
+    }
+
+    @Test
+    fun `a cancelled service goes and stays withdrawn`() {
+        val a = node("plot-0")
+        ask(a, "POST", "/v1/jobs", job("wk-000002", 2, shape = "standing"))
+        await("both replicas run") { standIns.workers.sumOf { it.present.size } == 2 }
+        assertEquals("withdrawn", ask(a, "POST", "/v1/jobs/wk-000002/abort")!!.json.string("stage"))
+        await("both replicas are gone") { standIns.workers.sumOf { it.present.size } == 0 }
+        assertEquals("withdrawn", stage(a, "wk-000002"))
+    }
+
+    @Test
+    fun `a successor finishes what was begun, without starting anything again`() {
+        val a = node("plot-0")
+        assertEquals(201, ask(a, "POST", "/v1/jobs", job("wk-000003", 24))!!.status)
+        await("half of it has started") { standIns.workers.sumOf { it.started.size } >= 12 }
+        val b = node("plot-1")
+        nodes.first().stop()
+        standIns.nodes = listOf(b)
+        await("the job is done") { stage(b, "wk-000003") == "done" }
+        val started = standIns.workers.flatMap { it.started }
+        assertEquals(started.toSet().size, started.size, "started again: $started")
+        assertEquals(24, started.size)
+    }
+
+    @Test
+    fun `what cannot be taken is refused at once, and says when to come back`() {
+        val a = node("plot-0")
+        assertEquals(400, ask(a, "POST", "/v1/jobs", "no json")!!.status)
+        assertEquals(400, ask(a, "POST", "/v1/jobs", job("wk-000004", 0))!!.status)
+        assertEquals(400, ask(a, "POST", "/v1/jobs", job("wk-000004", 1, shape = "heap"))!!.status)
+        assertEquals(422, ask(a, "POST", "/v1/jobs", job("wk-000004", 1, team = "nobody"))!!.status)
+        assertEquals(422, ask(a, "POST", "/v1/jobs", job("wk-000004", 1, cpus = 5.0))!!.status)
+        assertEquals(422, ask(a, "POST", "/v1/jobs", job("wk-000004", 7, shape = "standing", team = "small"))!!.status)
+        assertEquals(404, ask(a, "GET", "/v1/jobs/wk-000004")!!.status)
+        assertEquals(404, ask(a, "GET", "/nowhere")!!.status)
+        assertEquals(405, ask(a, "GET", "/checkin")!!.status)
+        ask(a, "POST", "/v1/jobs", job("wk-000005", 1))
+        await("it is done") { stage(a, "wk-000005") == "done" }
+        standIns.store.down = true
+        assertEquals(503, ask(a, "POST", "/v1/jobs", job("wk-000006", 1))!!.status)
+        assertEquals(503, ask(a, "GET", "/v1/jobs/wk-000006")!!.status)
+        assertEquals("done", stage(a, "wk-000005"), "a final state is told in an outage too")
+        standIns.store.down = false
+        await("it is accepted after the outage") { ask(a, "POST", "/v1/jobs", job("wk-000006", 1))!!.status in 200..201 }
+        assertTrue(standIns.workers.none { w -> w.started.any { it.job == "wk-000004" } })
+    }
+}
