--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -35,7 +35,11 @@
 
     val live = HashMap<String, AcceptedJob>()
     private val finals: Cache<String, FinalState> =
-        CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(Tuning.MAX_CACHED_FINALS).build()
+        CacheBuilder
+            .newBuilder()
+            .concurrencyLevel(1)
+            .maximumSize(Tuning.MAX_CACHED_FINALS)
+            .build()
     var listener: Listener? = null
     var loaded = false
         private set
--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -1,5 +1,8 @@
 package mintfield.app
 
+import mintfield.core.model.LogFormat
+import mintfield.io.loop.Log
+import mintfield.io.settings.OperatorFile
 import mintfield.io.settings.SettingsFault
 import mintfield.io.settings.SettingsFile
 import picocli.CommandLine
@@ -17,7 +20,12 @@
 
 /** The command line, built by hand instead of from annotations, since reflection slows the start. */
 private fun spec(): CommandSpec {
-    val spec = CommandSpec.create().name("mintfield").mixinStandardHelpOptions(true).version(VERSION)
+    val spec =
+        CommandSpec
+            .create()
+            .name("mintfield")
+            .mixinStandardHelpOptions(true)
+            .version(VERSION)
     spec.usageMessage().description("Schedules jobs on rented machines.")
     spec.addOption(
         OptionSpec
@@ -27,8 +35,16 @@
             .description("serve with the settings of this file (TOML)")
             .build(),
     )
+    spec.addOption(
+        OptionSpec
+            .builder("--operator")
+            .paramLabel("FILE")
+            .type(String::class.java)
+            .description("operators' own settings (HCL)")
+            .build(),
+    )
     val check = CommandSpec.create().name("check").mixinStandardHelpOptions(true)
-    check.usageMessage().description("Checks a settings file and says what is wrong with it.")
+    check.usageMessage().description("Checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it.")
     check.addPositional(
         PositionalParamSpec
             .builder()
@@ -62,7 +78,7 @@
         }
         if (sub != null) {
             val path: String = sub.matchedPositionalValue(0, "")
-            SettingsFile.read(path)
+            if (path.endsWith(".hcl")) OperatorFile.read(path) else SettingsFile.read(path)
             println("$path: good")
             return
         }
@@ -71,7 +87,12 @@
             System.err.println("mintfield: expected --config FILE; see --help")
             exitProcess(BAD_USAGE)
         }
-        Node(SettingsFile.read(path)).run()
+        val settings = SettingsFile.read(path)
+        val own: String? = parsed.matchedOptionValue("--operator", null)
+        // Its classes load only when it is named: every class costs time at the start.
+        val operator = own?.let { OperatorFile.read(it) } ?: settings.operator
+        Log.json = operator.logFormat == LogFormat.JSON
+        Node(settings.copy(operator = operator)).run()
     } catch (e: SettingsFault) {
         System.err.println("mintfield: ${e.message}")
         exitProcess(BAD_USAGE)
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -30,6 +30,7 @@
     private val announce: () -> Unit,
 ) {
     private val store = outside.store
+    private val leaseMs = outside.settings.operator.leaderLeaseMs
     private val me = outside.settings.member
     private val random = Random(System.nanoTime() xor me.hashCode().toLong())
 
@@ -108,7 +109,7 @@
     private suspend fun stand() {
         delay(random.nextLong(Tuning.ELECTION_SPREAD_MS))
         val sentAt = loop.nowMs()
-        val lease = (store.grantLease(Tuning.LEADER_LEASE_MS) as? StoreResult.Ok)?.value
+        val lease = (store.grantLease(leaseMs) as? StoreResult.Ok)?.value
         if (lease == null) {
             delay(Tuning.STORE_RETRY_MS)
             return standing.moveTo(Role.SEEKING, null)
@@ -125,7 +126,7 @@
             store.endLease(lease)
             return standing.moveTo(Role.SEEKING, null)
         }
-        lead(term, lease, LeaseClock(Tuning.LEADER_LEASE_MS, sentAt))
+        lead(term, lease, LeaseClock(leaseMs, sentAt))
     }
 
     /** After a try without an answer: the revision of our key, if it is there. */
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -143,7 +143,11 @@
         return answer(leader, body)
     }
 
-    override fun leadingTerm(): Long = member.leader?.scheduler?.cluster?.term ?: 0
+    override fun leadingTerm(): Long =
+        member.leader
+            ?.scheduler
+            ?.cluster
+            ?.term ?: 0
 
     override fun siblingLeads(
         member: String,
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -116,7 +116,10 @@
     private fun hints(): Hints {
         val sizes = HashMap<String, Double>()
         cluster.machines.values.forEach { sizes.putAll(it.cachedImages) }
-        val images = cluster.machines.values.filter { it.cachedImages.isNotEmpty() }.associate { it.id to it.cachedImages.keys.toList() }
+        val images =
+            cluster.machines.values
+                .filter { it.cachedImages.isNotEmpty() }
+                .associate { it.id to it.cachedImages.keys.toList() }
         return Hints(sizes, images, cluster.runTimes.ratios.toMap())
     }
 
@@ -270,7 +273,10 @@
                 left -= 2
             }
         }
-        val plans = cluster.jobs.values.filter { it.dirtyPlans.isNotEmpty() && !it.withdrawn && !it.allDone }.sortedBy { it.spec.priority }
+        val plans =
+            cluster.jobs.values
+                .filter { it.dirtyPlans.isNotEmpty() && !it.withdrawn && !it.allDone }
+                .sortedBy { it.spec.priority }
         for (job in plans) {
             for (shard in job.dirtyPlans) {
                 if (left <= 0) break
@@ -397,7 +403,9 @@
         val job = write.job
         val from = write.shard * Shards.TASKS
         job.writtenShards.add(write.shard)
-        write.record.done.stream().forEach { job.doneWritten.set(from + it) }
+        write.record.done
+            .stream()
+            .forEach { job.doneWritten.set(from + it) }
         var planned = false
         for (g in write.record.plans) {
             for (i in g.indices) {
@@ -429,10 +437,23 @@
 
     /** One line for the log: how much runs where. */
     fun summary(): String {
-        val by = cluster.machines.values.groupingBy { it.state }.eachCount()
-        val free = cluster.machines.values.filter { it.state == MachineState.UP }.sumOf { it.freeCpus }
-        val waiting = cluster.jobs.values.filter { !it.withdrawn }.sumOf { it.waitingCount }
-        val attempts = cluster.machines.values.flatMap { it.attempts }.groupingBy { it.state }.eachCount()
+        val by =
+            cluster.machines.values
+                .groupingBy { it.state }
+                .eachCount()
+        val free =
+            cluster.machines.values
+                .filter { it.state == MachineState.UP }
+                .sumOf { it.freeCpus }
+        val waiting =
+            cluster.jobs.values
+                .filter { !it.withdrawn }
+                .sumOf { it.waitingCount }
+        val attempts =
+            cluster.machines.values
+                .flatMap { it.attempts }
+                .groupingBy { it.state }
+                .eachCount()
         return "term ${cluster.term}: ${cluster.jobs.size} jobs, attempts $attempts, $waiting waiting, machines $by, ${free.toInt()} CPUs free"
     }
 }
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -256,7 +256,7 @@
         zoneSilent: Boolean,
     ) {
         val taken = m.takenAtMs
-        val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else Tuning.SILENT_RETURN_MS
+        val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else cluster.settings.operator.silentReturnMs
         when {
             taken != null && nowMs > taken + Tuning.FRESH_REPORT_MS -> condemn(m, nowMs, "its notice has run out and it is silent")
             nowMs - m.heardAtMs > limit -> condemn(m, nowMs, "silent for ${(nowMs - m.heardAtMs) / 1000} s")
@@ -297,8 +297,8 @@
             if (m.state == MachineState.SILENT) continue
             if (m.spot) spot += m.type.cpus else ordinary += m.type.cpus
         }
-        val ordinaryShort = services * Tuning.HEADROOM - ordinary
-        val allShort = (services + arrays) * Tuning.HEADROOM - ordinary - spot
+        val ordinaryShort = services * cluster.settings.operator.headroom - ordinary
+        val allShort = (services + arrays) * cluster.settings.operator.headroom - ordinary - spot
         if (allShort <= 0 && ordinaryShort <= 0) return returnIdle(nowMs, -allShort)
         idleSince.clear()
         val offer = choose(ordinaryShort > 0, nowMs) ?: return
@@ -338,7 +338,7 @@
                 continue
             }
             val since = idleSince.getOrPut(m.id) { nowMs }
-            val patience = if (cluster.jobs.isEmpty()) Tuning.EMPTY_RETURN_MS else Tuning.IDLE_RETURN_MS
+            val patience = if (cluster.jobs.isEmpty()) Tuning.EMPTY_RETURN_MS else cluster.settings.operator.idleReturnMs
             if (nowMs - since > patience) {
                 idleSince.remove(m.id)
                 return condemn(m, nowMs, "idle and not needed")
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -147,7 +147,9 @@
 
     /** Whether a task may be planned here now. */
     fun open(nowMs: Long): Boolean =
-        state == MachineState.UP && takenAtMs == null && nowMs >= avoidUntilMs &&
+        state == MachineState.UP &&
+            takenAtMs == null &&
+            nowMs >= avoidUntilMs &&
             nowMs - heardAtMs < Tuning.FRESH_REPORT_MS
 
     companion object {
--- a/src/main/kotlin/mintfield/core/model/Job.kt
+++ b/src/main/kotlin/mintfield/core/model/Job.kt
@@ -87,5 +87,7 @@
         .filter { t ->
             (spec.types == null || t.name in spec.types) &&
                 (spec.zone == null || spec.zone in t.zones) &&
-                spec.cpus <= t.cpus && spec.gpus <= t.gpus && spec.memoryGb <= t.memoryGb
+                spec.cpus <= t.cpus &&
+                spec.gpus <= t.gpus &&
+                spec.memoryGb <= t.memoryGb
         }.map { it.name }
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
@@ -0,0 +1,14 @@
+package mintfield.core.model
+
+import mintfield.core.Tuning
+
+/** What operators may set for themselves, beyond what the platform hands over. */
+data class OperatorSettings(
+    val logFormat: LogFormat = LogFormat.PLAIN,
+    val leaderLeaseMs: Long = Tuning.LEADER_LEASE_MS,
+    val headroom: Double = Tuning.HEADROOM,
+    val idleReturnMs: Long = Tuning.IDLE_RETURN_MS,
+    val silentReturnMs: Long = Tuning.SILENT_RETURN_MS,
+)
+
+enum class LogFormat { PLAIN, JSON }
--- a/src/main/kotlin/mintfield/core/model/Settings.kt
+++ b/src/main/kotlin/mintfield/core/model/Settings.kt
@@ -44,4 +44,5 @@
     val cloudRps: Double,
     val listLagS: Double,
     val maxSockets: Int,
+    val operator: OperatorSettings = OperatorSettings(),
 )
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -1,7 +1,6 @@
 package mintfield.core.placement
 
 import mintfield.core.Cluster
-import mintfield.core.Tuning
 import mintfield.core.fleet.Machine
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
@@ -62,8 +61,11 @@
         val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
         val fitting =
             open.filter {
-                it.type.name in job.fits && (spec.types == null || it.type.name in spec.types) &&
-                    (!it.spot || spec.spot) && zones.allows(it.zone) && !(it.id in job.failedOn && job.failedOn.size < open.size / 2)
+                it.type.name in job.fits &&
+                    (spec.types == null || it.type.name in spec.types) &&
+                    (!it.spot || spec.spot) &&
+                    zones.allows(it.zone) &&
+                    !(it.id in job.failedOn && job.failedOn.size < open.size / 2)
             }
         if (spec.shape == Shape.GANG && roomFor(spec, fitting) < job.waitingCount) return 0
         val ranked = fitting.sortedWith(preference(spec)).map { Rank(it, imageRank(it, spec.image)) }
--- a/src/main/kotlin/mintfield/io/cloud/CloudClient.kt
+++ b/src/main/kotlin/mintfield/io/cloud/CloudClient.kt
@@ -33,7 +33,10 @@
 ) {
     suspend fun types(): CloudResult<List<MachineType>> =
         ask("GET", "/machine_types", null) { a ->
-            a.json["breeds"].asList().orEmpty().mapNotNull { it.asMap()?.let(::type) }
+            a.json["breeds"]
+                .asList()
+                .orEmpty()
+                .mapNotNull { it.asMap()?.let(::type) }
         }
 
     private fun type(m: Map<String, Any?>): MachineType? {
@@ -60,7 +63,12 @@
                 writeBooleanField("gleaning", i.spot)
                 writeNumberField("number", i.number)
             }
-        return ask("POST", "/rentals", body) { a -> a.json["plots"].asList().orEmpty().filterIsInstance<String>() }
+        return ask("POST", "/rentals", body) { a ->
+            a.json["plots"]
+                .asList()
+                .orEmpty()
+                .filterIsInstance<String>()
+        }
     }
 
     suspend fun giveBack(machines: List<String>): CloudResult<Unit> {
--- a/src/main/kotlin/mintfield/io/http/HttpClient.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpClient.kt
@@ -83,7 +83,12 @@
                     )
             }
             val head = StringBuilder(96)
-            head.append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ").append(host)
+            head
+                .append(method)
+                .append(' ')
+                .append(path)
+                .append(" HTTP/1.1\r\nHost: ")
+                .append(host)
             if (body != null) head.append("\r\nContent-Type: application/json")
             head.append("\r\nContent-Length: ").append(body?.size ?: 0).append("\r\n\r\n")
             sent = true
--- a/src/main/kotlin/mintfield/io/http/HttpServer.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpServer.kt
@@ -134,7 +134,11 @@
         close: Boolean,
     ) {
         val head = StringBuilder(128)
-        head.append("HTTP/1.1 ").append(response.status).append(' ').append(reason(response.status))
+        head
+            .append("HTTP/1.1 ")
+            .append(response.status)
+            .append(' ')
+            .append(reason(response.status))
         head.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(response.body.size)
         response.retryAfterS?.let { head.append("\r\nRetry-After: ").append(it) }
         response.allow?.let { head.append("\r\nAllow: ").append(it) }
--- a/src/main/kotlin/mintfield/io/loop/EventLoop.kt
+++ b/src/main/kotlin/mintfield/io/loop/EventLoop.kt
@@ -18,7 +18,9 @@
  * NIO.2 channels (which take it as their executor).
  */
 @OptIn(InternalCoroutinesApi::class)
-class EventLoop : CoroutineDispatcher(), Delay {
+class EventLoop :
+    CoroutineDispatcher(),
+    Delay {
     private val queue = LinkedBlockingQueue<Runnable>()
     private val timers = PriorityQueue<Timer>()
     private val thread = Thread({ run() }, "mintfield-loop")
@@ -175,6 +177,9 @@
 
 /** The scope of coroutines that live as long as the process. */
 fun EventLoop.scope(): CoroutineScope =
-    CoroutineScope(this + kotlinx.coroutines.SupervisorJob() + kotlinx.coroutines.CoroutineExceptionHandler { _, e ->
-        Log.error("a coroutine failed: $e at ${e.stackTrace.take(6)}")
-    })
+    CoroutineScope(
+        this + kotlinx.coroutines.SupervisorJob() +
+            kotlinx.coroutines.CoroutineExceptionHandler { _, e ->
+                Log.error("a coroutine failed: $e at ${e.stackTrace.take(6)}")
+            },
+    )
--- a/src/main/kotlin/mintfield/io/loop/Log.kt
+++ b/src/main/kotlin/mintfield/io/loop/Log.kt
@@ -1,5 +1,7 @@
 package mintfield.io.loop
 
+import mintfield.io.json.Json
+
 /** Lines on standard error, at the level of the variable `LOG_LEVEL`. */
 object Log {
     private enum class Level { ERROR, INFO, DEBUG }
@@ -11,6 +13,9 @@
             else -> Level.ERROR
         }
 
+    /** Set once at the start, before anything is logged. */
+    var json = false
+
     val infoOn: Boolean get() = level >= Level.INFO
     val debugOn: Boolean get() = level >= Level.DEBUG
 
@@ -27,5 +32,16 @@
     private fun write(
         word: String,
         line: String,
-    ) = System.err.println("$word $line")
+    ) = System.err.println(
+        if (json) {
+            String(
+                Json.obj {
+                    writeStringField("level", word.lowercase())
+                    writeStringField("message", line)
+                },
+            )
+        } else {
+            "$word $line"
+        },
+    )
 }
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -52,8 +52,7 @@
             writeNumberField("tasks", state.tasks)
         }
 
-    fun parseFinal(data: Map<String, Any?>) =
-        FinalState(if (data.string("stage") == "done") Stage.DONE else Stage.WITHDRAWN, data.long("tasks")?.toInt() ?: 0)
+    fun parseFinal(data: Map<String, Any?>) = FinalState(if (data.string("stage") == "done") Stage.DONE else Stage.WITHDRAWN, data.long("tasks")?.toInt() ?: 0)
 
     fun shard(
         record: ShardRecord,
@@ -117,8 +116,19 @@
     }
 
     fun parseHints(data: Map<String, Any?>): Hints {
-        fun numbers(field: String) = data[field].asMap().orEmpty().mapNotNull { (k, v) -> Json.asDouble(v)?.let { k to it } }.toMap()
-        val machines = data["machines"].asMap().orEmpty().mapValues { it.value.asList().orEmpty().filterIsInstance<String>() }
+        fun numbers(field: String) =
+            data[field]
+                .asMap()
+                .orEmpty()
+                .mapNotNull { (k, v) -> Json.asDouble(v)?.let { k to it } }
+                .toMap()
+        val machines =
+            data["machines"].asMap().orEmpty().mapValues {
+                it.value
+                    .asList()
+                    .orEmpty()
+                    .filterIsInstance<String>()
+            }
         return Hints(numbers("gb"), machines, numbers("ratio"))
     }
 
--- a/src/main/kotlin/mintfield/io/store/StoreClient.kt
+++ b/src/main/kotlin/mintfield/io/store/StoreClient.kt
@@ -133,7 +133,11 @@
         most: Int,
     ): StoreResult<Page> =
         ask("GET", "/store?starts=$prefix" + (after?.let { "&after=$it" } ?: "") + "&most=$most", urgent = true).map { a ->
-            val entries = a.json["entries"].asList().orEmpty().mapNotNull { it.asMap()?.let { e -> entry(e, "") } }
+            val entries =
+                a.json["entries"]
+                    .asList()
+                    .orEmpty()
+                    .mapNotNull { it.asMap()?.let { e -> entry(e, "") } }
             Page(entries, a.json["hasNext"] == true, a.json.long("ledger") ?: 0)
         }
 
@@ -147,13 +151,21 @@
             when (a.status) {
                 200 -> TxnOutcome.Applied(a.json.long("ledger") ?: 0)
 
-                409 -> TxnOutcome.Failed(a.json["failed"].asList().orEmpty().filterIsInstance<String>(), a.json.long("ledger") ?: 0)
-
-                else -> if (a.json.string("error") == "no such lease") {
-                    TxnOutcome.LeaseGone
-                } else {
-                    throw IllegalStateException("the state service calls a transaction malformed: ${String(a.body)}")
-                }
+                409 ->
+                    TxnOutcome.Failed(
+                        a.json["failed"]
+                            .asList()
+                            .orEmpty()
+                            .filterIsInstance<String>(),
+                        a.json.long("ledger") ?: 0,
+                    )
+
+                else ->
+                    if (a.json.string("error") == "no such lease") {
+                        TxnOutcome.LeaseGone
+                    } else {
+                        throw IllegalStateException("the state service calls a transaction malformed: ${String(a.body)}")
+                    }
             }
         }
     }
--- /dev/null
+++ b/src/test/kotlin/mintfield/TraceTest.kt
@@ -0,0 +1,214 @@
+package mintfield
+
+import mintfield.core.CommitResult
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.Write
+import mintfield.core.fleet.ListedMachine
+import mintfield.core.jobs.ShardRecord
+import mintfield.core.model.EndCause
+import mintfield.core.model.Order
+import mintfield.core.model.Priority
+import mintfield.core.model.ReportedState
+import mintfield.core.model.ReportedTask
+import mintfield.core.model.Shape
+import mintfield.core.model.TaskId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.io.File
+
+/**
+ * Plays the kept traces: lines with `>` are events, the lines with `<` under them what the core must answer. To renew a
+ * trace after a wanted change, run with `-Dtraces.write=true` and read what has changed.
+ */
+class TraceTest {
+    @TestFactory
+    fun traces(): List<DynamicTest> =
+        File("src/test/resources/traces").listFiles()!!.filter { it.name.endsWith(".trace") }.sorted().map { file ->
+            DynamicTest.dynamicTest(file.name.removeSuffix(".trace")) { play(file) }
+        }
+
+    private fun play(file: File) {
+        val player = Player()
+        val out = ArrayList<String>()
+        for (line in file.readLines()) {
+            if (line.startsWith("< ")) continue
+            out.add(line)
+            if (line.startsWith("> ")) out.addAll(player.event(line.substring(2)).map { "< $it" })
+        }
+        val text = out.joinToString("\n", postfix = "\n")
+        if (System.getProperty("traces.write") == "true") file.writeText(text)
+        assertEquals(file.readText(), text)
+    }
+
+    private class Player {
+        private var scheduler = fresh(1)
+        private var now = 1_000L
+        private var mark = 1L
+        private val kept = HashMap<Pair<String, Int>, ShardRecord>()
+        private val jobs = LinkedHashMap<String, mintfield.core.model.AcceptedJob>()
+        private val logged = ArrayList<String>()
+        private var calls = emptyList<mintfield.core.DirectCall>()
+
+        private fun fresh(term: Long) = Scheduler(Fixtures.settings, term) { logged.add(it) }.also { it.types(listOf(Fixtures.box), 0) }
+
+        fun event(text: String): List<String> {
+            val words = text.split(' ')
+            logged.clear()
+            val shown =
+                when (words[0]) {
+                    "at" -> emptyList<String>().also { now = words[1].toLong() }
+                    "ready" -> emptyList<String>().also { scheduler.replayDone(now) }
+                    "job" -> job(words)
+                    "abort" -> abort(words[1])
+                    "list" -> list(words.drop(1))
+                    "report" -> report(words)
+                    "commit" -> commit(words.getOrElse(1) { "done" })
+                    "direct" -> direct(words[1])
+                    "tick" -> emptyList<String>().also { scheduler.tick(now) }
+                    "cloud" -> cloud(words.getOrElse(1) { "done" })
+                    "successor" -> successor(words[1].toLong())
+                    else -> error("what is '$text'?")
+                }
+            return shown + logged.map { "log: $it" }
+        }
+
+        private fun option(
+            words: List<String>,
+            name: String,
+        ) = words.firstOrNull { it.startsWith("$name=") }?.substringAfter('=')
+
+        private fun job(words: List<String>): List<String> {
+            val spec =
+                Fixtures.spec(
+                    words[1],
+                    tasks = option(words, "tasks")?.toInt() ?: 1,
+                    shape =
+                        if ("service" in words) {
+                            Shape.SERVICE
+                        } else if ("gang" in words) {
+                            Shape.GANG
+                        } else {
+                            Shape.ARRAY
+                        },
+                    priority = if ("high" in words) Priority.HIGH else Priority.NORMAL,
+                    team = option(words, "team") ?: "floor",
+                    spot = "spot" in words,
+                    image = option(words, "image") ?: "img-1",
+                    spread = "spread" in words,
+                    zone = option(words, "zone"),
+                )
+            jobs[spec.id] = Fixtures.accepted(spec, ++mark)
+            scheduler.jobChanged(jobs.getValue(spec.id), now)
+            return emptyList()
+        }
+
+        private fun abort(id: String): List<String> {
+            jobs[id] = jobs.getValue(id).copy(withdrawn = true, mark = ++mark)
+            scheduler.jobChanged(jobs.getValue(id), now)
+            return emptyList()
+        }
+
+        private fun list(ids: List<String>): List<String> {
+            val page = ids.map { ListedMachine(it.substringBefore(':'), "box", it.substringAfter(':', "north"), false, "running", 500.0) }
+            scheduler.listed(page, false, now)
+            return emptyList()
+        }
+
+        /** `report m-1 tally=3 term=1 wk-1/0@65537:running` */
+        private fun report(words: List<String>): List<String> {
+            val tasks =
+                words.filter { '@' in it }.map { w ->
+                    val state = w.substringAfter(':')
+                    val cause = EndCause.entries.firstOrNull { it.name.equals(state, ignoreCase = true) }
+                    val kind = if (cause != null) ReportedState.ENDED else ReportedState.valueOf(state.uppercase())
+                    ReportedTask(TaskId.parse(w.substringBefore('@'))!!, w.substringAfter('@').substringBefore(':').toLong(), kind, cause)
+                }
+            val r =
+                Fixtures.report(
+                    words[1],
+                    option(words, "tally")!!.toLong(),
+                    option(words, "term")!!.toLong(),
+                    *tasks.toTypedArray(),
+                    season = option(words, "season")?.toLong() ?: 1,
+                    zone = option(words, "zone") ?: "north",
+                    notice = option(words, "notice")?.toDouble(),
+                )
+            return when (val a = scheduler.report(r, mayAct = "lapsed" !in words, nowMs = now)) {
+                ReportAnswer.Deposed -> listOf("deposed")
+                is ReportAnswer.Orders -> listOf("term ${a.term}${a.orders.joinToString("") { " " + show(it) }}")
+            }
+        }
+
+        private fun show(o: Order) =
+            when (o) {
+                is Order.Run -> "run ${o.task}@${o.attempt}"
+                is Order.Halt -> "halt ${o.task}@${o.attempt}"
+                is Order.Clear -> "clear ${o.task}@${o.attempt}"
+            }
+
+        private fun commit(fate: String): List<String> {
+            val c = scheduler.nextCommit(now, now, 16) ?: return listOf("nothing to write")
+            val shown = c.writes.filter { it !is Write.Remember }.map(::show)
+            val result =
+                when (fate) {
+                    "done" -> CommitResult.Done(++mark)
+                    "unknown" -> CommitResult.Unknown
+                    "refused" -> CommitResult.Refused
+                    else -> CommitResult.Conflict(setOf(fate))
+                }
+            if (fate == "done") c.writes.forEach { w -> if (w is Write.Progress) kept[w.job.spec.id to w.shard] = w.record }
+            scheduler.committed(c, result, now)
+            return shown
+        }
+
+        private fun show(w: Write): String =
+            when (w) {
+                is Write.Progress ->
+                    "record ${w.job.spec.id} shard ${w.shard}: done ${w.record.done} plans " +
+                        w.record.plans.joinToString { "${it.machine}@${it.attempt} ${it.indices}" }
+                is Write.Finish -> "finish ${w.job.spec.id}"
+                is Write.Sweep -> "sweep ${w.job.spec.id}"
+                is Write.SweepKey -> "sweep key ${w.key}"
+                is Write.Intend -> "intend ${w.intent.number} ${w.intent.type} in ${w.intent.zone} spot=${w.intent.spot} as ${w.intent.plea}"
+                is Write.DropIntent -> "drop intent ${w.plea}"
+                is Write.Remember -> "remember"
+                Write.RaiseTerm -> "raise term"
+            }
+
+        private fun direct(fate: String): List<String> {
+            if (fate == "call") {
+                calls = scheduler.directCalls(now, 10)
+                return calls.map { c -> "to ${c.machine} term ${c.term} season ${c.season}: ${c.orders.joinToString(" ") { show(it) }}" }
+            }
+            calls.forEach { scheduler.directUnanswered(it, sent = fate == "lost", now) }
+            return emptyList()
+        }
+
+        private fun cloud(fate: String): List<String> {
+            val call = scheduler.cloudCall(now) ?: return listOf("nothing to ask")
+            when (call) {
+                is mintfield.core.CloudCall.Return -> if (fate == "done") scheduler.fleet.returned(call.machines, now) else scheduler.fleet.failed(call, now)
+                is mintfield.core.CloudCall.Rent ->
+                    if (fate ==
+                        "none"
+                    ) {
+                        scheduler.fleet.noCapacity(call.intent, now)
+                    } else {
+                        scheduler.fleet.rented(call.intent, listOf(fate), now)
+                    }
+                else -> scheduler.fleet.listed(emptyList(), false, now)
+            }
+            return listOf(call.toString().replace(Regex("RentIntent"), ""))
+        }
+
+        /** A new leader from what was written. */
+        private fun successor(term: Long): List<String> {
+            scheduler = fresh(term)
+            jobs.values.forEach { scheduler.jobChanged(it, now) }
+            kept.forEach { (k, v) -> scheduler.replayShard("${k.first}/${k.second}", k.first, k.second, v, now) }
+            return emptyList()
+        }
+    }
+}
