--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -123,7 +123,7 @@
         intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(Keys.INTENTS), it.data)) }
         for (r in records) {
             val (job, shard) = Keys.parseShard(r.key) ?: continue
-            scheduler.replayShard(r.key, job, shard, Records.parseShard(r.data, shard), now)
+            scheduler.replayShard(job, shard, Records.parseShard(r.data, shard), now)
         }
         hints?.let { scheduler.recall(it) }
         scheduler.replayDone(now)
@@ -201,6 +201,7 @@
         }
         val commit = Commit(wanted.term, taken)
         writes.take(puts.size.toDouble())
+        val sentAt = loop.nowMs()
         val result =
             when (val r = store.txn(guards.values.toList(), puts, urgent = true)) {
                 is StoreResult.Ok ->
@@ -224,6 +225,7 @@
                     CommitResult.Unknown
                 }
             }
+        outside.metrics.committed(loop.nowMs() - sentAt)
         scheduler.committed(commit, result, loop.nowMs())
     }
 
@@ -265,7 +267,7 @@
                     KeyWrite.Delete(Keys.live(w.job.spec.id)),
                 )
             is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
-            is Write.SweepKey -> listOf(KeyWrite.Delete(w.key))
+            is Write.SweepRecord -> listOf(KeyWrite.Delete(Keys.shard(w.jobId, w.shard)))
             is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
             is Write.Remember -> listOf(KeyWrite.Put(Keys.HINTS, Records.hints(w.hints, (settings.valueKb * 1000).toInt())))
             is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
@@ -362,6 +364,7 @@
             if (loop.nowMs() >= nextSummary) {
                 nextSummary = loop.nowMs() + Tuning.SUMMARY_MS
                 Log.info(scheduler.summary())
+                outside.metrics.takeSummary().let { if (it.isNotEmpty()) Log.info(it) }
             }
             delay(Tuning.TICK_MS)
         }
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -69,15 +69,23 @@
         val path = request.second
         return when {
             path == "/checkin" -> only("POST", request) { checkin(request) }
-            path == "/v1/jobs" -> only("POST", request) { users.submit(request) }
+            path == "/v1/jobs" -> only("POST", request) { timed(outside.metrics::accepted) { users.submit(request) } }
             path == "/ready" -> only("GET", request) { ready() }
             path.startsWith(JOB_PATH) && path.endsWith("/abort") ->
                 only("POST", request) { users.abort(path.substring(JOB_PATH.length, path.length - "/abort".length)) }
-            path.startsWith(JOB_PATH) -> only("GET", request) { users.poll(path.substring(JOB_PATH.length)) }
+            path.startsWith(JOB_PATH) -> only("GET", request) { timed(outside.metrics::polled) { users.poll(path.substring(JOB_PATH.length)) } }
             else -> Response.error(404, "no such path")
         }
     }
 
+    private inline fun timed(
+        record: (Long) -> Unit,
+        action: () -> Response,
+    ): Response {
+        val from = loop.nowMs()
+        return action().also { record(loop.nowMs() - from) }
+    }
+
     private inline fun only(
         method: String,
         request: HttpMessage,
--- a/src/main/kotlin/mintfield/app/Outside.kt
+++ b/src/main/kotlin/mintfield/app/Outside.kt
@@ -29,6 +29,7 @@
             client(settings.cloudAddress, 1),
             Pacer(loop, settings.cloudRps * Tuning.CLOUD_SHARE, settings.cloudRps),
         )
+    val metrics = Metrics()
     val types = LinkedHashMap<String, MachineType>()
     private val workers = LinkedHashMap<String, HttpClient>(16, 0.75f, true)
 
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -24,8 +24,9 @@
     ) : Write
 
     /** Records that belong to no job any more. */
-    data class SweepKey(
-        val key: String,
+    data class SweepRecord(
+        val jobId: String,
+        val shard: Int,
     ) : Write
 
     data class Intend(
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -41,7 +41,9 @@
     private val reports = ReportHandler(cluster, log)
     private val round = Round(cluster, log)
     val fleet = FleetManager(cluster, log)
-    private val sweepKeys = ArrayDeque<String>()
+
+    /** Records whose job has ended; they go when there is room, and a successor finds what is left of them. */
+    private val leftOver = LinkedHashSet<Write.SweepRecord>()
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
@@ -64,7 +66,6 @@
 
     /** Takes a recorded plan and done-set as outputs of steps that need not run again. */
     fun replayShard(
-        key: String,
         jobId: String,
         shard: Int,
         record: ShardRecord,
@@ -72,7 +73,7 @@
     ) {
         val job = cluster.jobs[jobId]
         if (job == null) {
-            sweepKeys.add(key)
+            leftOver.add(Write.SweepRecord(jobId, shard))
             return
         }
         val from = shard * Shards.TASKS
@@ -294,11 +295,13 @@
             writes.add(Write.DropIntent(plea))
             left--
         }
-        addDone(writes, left, nowMs)
+        left = addDone(writes, left, nowMs)
         if (left > 0 && nowMs - lastHintsMs >= Tuning.HINTS_MS) {
             lastHintsMs = nowMs
             writes.add(Write.Remember(hints()))
+            left--
         }
+        writes.addAll(leftOver.take(maxOf(0, left - SWEEP_RESERVE)))
         return if (writes.isEmpty()) null else Commit(cluster.term, writes)
     }
 
@@ -306,10 +309,10 @@
         writes: MutableList<Write>,
         room: Int,
         nowMs: Long,
-    ) {
+    ): Int {
         var left = room
         for (job in cluster.jobs.values) {
-            if (left <= 0) return
+            if (left <= 0) return left
             if (job.withdrawn) {
                 if (job.activeAttempts.isEmpty() && !job.finishing) {
                     writes.add(Write.Sweep(job))
@@ -319,13 +322,13 @@
             }
             if (job.allDone) continue
             for ((shard, since) in job.stale) {
-                if (left <= 0) return
+                if (left <= 0) return left
                 if (shard in job.dirtyPlans || nowMs - since < Tuning.DONE_BATCH_MS) continue
                 writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
                 left--
             }
         }
-        if (writes.isEmpty() && sweepKeys.isNotEmpty()) sweepKeys.take(left).forEach { writes.add(Write.SweepKey(it)) }
+        return left
     }
 
     fun committed(
@@ -366,7 +369,7 @@
                 log("${write.job.spec.id} is swept")
                 finished(write.job, nowMs)
             }
-            is Write.SweepKey -> sweepKeys.remove(write.key)
+            is Write.SweepRecord -> leftOver.remove(write)
             is Write.Intend -> {
                 fleet.wishes.remove(write.intent)
                 fleet.intents[write.intent.plea] = write.intent
@@ -393,6 +396,7 @@
         job: Job,
         nowMs: Long,
     ) {
+        job.writtenShards.forEach { leftOver.add(Write.SweepRecord(job.spec.id, it)) }
         jobRemoved(job.spec.id, nowMs)
     }
 
@@ -456,4 +460,9 @@
                 .eachCount()
         return "term ${cluster.term}: ${cluster.jobs.size} jobs, attempts $attempts, $waiting waiting, machines $by, ${free.toInt()} CPUs free"
     }
+
+    private companion object {
+        /** Writes of a transaction that are kept from sweeping, as something urgent may come at any moment. */
+        const val SWEEP_RESERVE = 6
+    }
 }
--- a/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
@@ -4,20 +4,10 @@
 import com.bertramlabs.plugins.hcl4j.HCLParserException
 import mintfield.core.model.LogFormat
 import mintfield.core.model.OperatorSettings
-import java.io.File
-import java.io.IOException
 
 /** Reads the operators' own settings (HCL). Unlike the platform's file, a field that is not known is a mistake. */
 object OperatorFile {
-    fun read(path: String): OperatorSettings {
-        val text =
-            try {
-                File(path).readText()
-            } catch (e: IOException) {
-                throw SettingsFault("$path: cannot be read (${e.message})")
-            }
-        return parse(text, path)
-    }
+    fun read(path: String): OperatorSettings = parse(SettingsFile.text(path), path)
 
     fun parse(
         text: String,
--- a/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
@@ -18,15 +18,14 @@
 
 /** Reads the platform's TOML. Fields that are not known are ignored. */
 object SettingsFile {
-    fun read(path: String): Settings {
-        val text =
-            try {
-                File(path).readText()
-            } catch (e: IOException) {
-                throw SettingsFault("$path: cannot be read (${e.message})")
-            }
-        return parse(text, path)
-    }
+    fun read(path: String): Settings = parse(text(path), path)
+
+    fun text(path: String): String =
+        try {
+            File(path).readText()
+        } catch (e: IOException) {
+            throw SettingsFault("$path: cannot be read (${e.message})")
+        }
 
     fun parse(
         text: String,
