--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -158,6 +158,9 @@
     /** Milliseconds that a suspected machine gets no tasks, after which it is tried again. */
     const val SICK_PAUSE_MS = 20_000L
 
+    /** CPUs of machines with a job's image, per CPU that its waiting tasks need, from which on it waits for those. */
+    const val IMAGE_ROOM = 1.0
+
     /** Weight of a job's first measured task in its class's ratio of truth to estimate; later tasks of it weigh less. */
     const val RATIO_WEIGHT = 0.3
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -1,6 +1,7 @@
 package mintfield.core.placement
 
 import mintfield.core.Cluster
+import mintfield.core.Tuning
 import mintfield.core.fleet.Machine
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
@@ -30,13 +31,37 @@
         val number = cluster.nextAttemptNumber()
         val reserve = replicaReserve()
         var planned = 0
-        for (job in urgency.sorted(waiting, wallMs)) {
+        val order = urgency.sorted(waiting, wallMs)
+        val patient = ArrayList<Job>()
+        for (job in order) {
             if (planned >= most) break
-            planned += place(job, open, number, reserve, nowMs, most - planned)
+            val waits = imageElsewhere(job, open)
+            if (waits) patient.add(job)
+            planned += place(job, open, number, reserve, nowMs, most - planned, if (waits) FETCHING else ANYWHERE)
+        }
+        // Room that nobody with the image wanted is worth a fetch.
+        for (job in patient) {
+            if (planned >= most) break
+            if (job.waitingCount > 0) planned += place(job, open, number, reserve, nowMs, most - planned, ANYWHERE)
         }
         return planned
     }
 
+    /**
+     * Whether an array had better wait for room where its image is: a slot that waits for a fetch does no work, and another
+     * job may have its image there.
+     */
+    private fun imageElsewhere(
+        job: Job,
+        open: List<Machine>,
+    ): Boolean {
+        val spec = job.spec
+        if (spec.shape != Shape.ARRAY) return false
+        var cpus = 0.0
+        for (m in open) if (m.hasImage(spec.image) && (!m.spot || spec.spot)) cpus += m.type.cpus
+        return cpus >= job.waitingCount * spec.cpus * Tuning.IMAGE_ROOM
+    }
+
     /** CPUs that arrays leave free on every ordinary machine, so that a new replica need not wait. */
     private fun replicaReserve(): Double {
         var most = 0.0
@@ -51,6 +76,7 @@
         reserve: Double,
         nowMs: Long,
         most: Int,
+        worst: Int,
     ): Int {
         val spec = job.spec
         val allowed = minOf(most, cluster.allowance(spec))
@@ -75,7 +101,7 @@
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
         val phases = if (mayDisplace) URGENT_PHASES else PLAIN_PHASES
         for ((worstImage, displacing) in phases) {
-            val places = ranked.filter { it.image <= worstImage && zones.allows(it.machine.zone) }
+            val places = ranked.filter { it.image <= minOf(worstImage, worst) && zones.allows(it.machine.zone) }
             if (displacing) {
                 while (tasks.hasNext()) {
                     val m = displace(job, places.filter { zones.allows(it.machine.zone) }, nowMs) ?: break
@@ -201,6 +227,10 @@
         /** Cost, in CPU seconds of lost work, of a place where the image must still be fetched. */
         const val IMAGE_COST = 30.0
 
+        /** Ranks of image: there, being fetched, to be fetched. */
+        const val FETCHING = 1
+        const val ANYWHERE = 2
+
         /** Phases of placement: the worst rank of image allowed, and whether to displace others. */
         val PLAIN_PHASES = listOf(2 to false)
         val URGENT_PHASES = listOf(0 to false, 0 to true, 1 to false, 2 to false, 2 to true)
