--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -158,6 +158,10 @@
     /** Milliseconds that a suspected machine gets no tasks, after which it is tried again. */
     const val SICK_PAUSE_MS = 20_000L
 
+    /** Waiting CPUs, as a share of all, from which on a slot is too dear to wait for a fetch; below, a task that could
+     *  start is better off fetching than waiting. */
+    const val CROWDED_SHARE = 0.4
+
     /** CPUs of machines with a job's image, per CPU that its waiting tasks need, from which on it waits for those. */
     const val IMAGE_ROOM = 1.0
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -33,9 +33,10 @@
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
         val patient = ArrayList<Job>()
+        val crowded = waiting.sumOf { it.waitingCount * it.spec.cpus } > open.sumOf { it.type.cpus } * Tuning.CROWDED_SHARE
         for (job in order) {
             if (planned >= most) break
-            val waits = imageElsewhere(job, open)
+            val waits = crowded && imageElsewhere(job, open)
             if (waits) patient.add(job)
             planned += place(job, open, number, reserve, nowMs, most - planned, if (waits) FETCHING else ANYWHERE)
         }
