--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -32,6 +32,9 @@
     private val teams = settings.teams.associateBy { it.name }
     private var attemptNumber = 0L
 
+    /** When this leader's replay ended. */
+    var replayedAtMs = 0L
+
     /** Set when something waits for workers to see a higher term. */
     var raiseWanted = false
 
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -126,6 +126,7 @@
 
     fun replayDone(nowMs: Long) {
         loaded = true
+        cluster.replayedAtMs = nowMs
         for (job in cluster.jobs.values) if (job.withdrawn) job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn") }
     }
 
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -162,6 +162,9 @@
      *  start is better off fetching than waiting. */
     const val CROWDED_SHARE = 0.4
 
+    /** Milliseconds after a take-over for which a task waits for machines that hold its image to report. */
+    const val SETTLE_MS = 3_000L
+
     /** CPUs of machines with a job's image, per CPU that its waiting tasks need, from which on it waits for those. */
     const val IMAGE_ROOM = 1.0
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -3,6 +3,7 @@
 import mintfield.core.Cluster
 import mintfield.core.Tuning
 import mintfield.core.fleet.Machine
+import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
@@ -38,16 +39,34 @@
             if (planned >= most) break
             val waits = crowded && imageElsewhere(job, open)
             if (waits) patient.add(job)
-            planned += place(job, open, number, reserve, nowMs, most - planned, if (waits) FETCHING else ANYWHERE)
+            val worst =
+                if (settling(job, nowMs)) {
+                    THERE
+                } else if (waits) {
+                    FETCHING
+                } else {
+                    ANYWHERE
+                }
+            planned += place(job, open, number, reserve, nowMs, most - planned, worst)
         }
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
-            if (job.waitingCount > 0) planned += place(job, open, number, reserve, nowMs, most - planned, ANYWHERE)
+            if (job.waitingCount > 0 && !settling(job, nowMs)) planned += place(job, open, number, reserve, nowMs, most - planned, ANYWHERE)
         }
         return planned
     }
 
+    /**
+     * Just after a take-over most machines have not reported yet. A task placed on the first that has would often fetch its
+     * image for half a minute, though one that has the image reports within a second or two.
+     */
+    private fun settling(
+        job: Job,
+        nowMs: Long,
+    ) = nowMs - cluster.replayedAtMs < Tuning.SETTLE_MS &&
+        cluster.machines.values.any { it.state == MachineState.AWAITED && it.hasImage(job.spec.image) && (!it.spot || job.spec.spot) }
+
     /**
      * Whether an array had better wait for room where its image is: a slot that waits for a fetch does no work, and another
      * job may have its image there.
@@ -229,6 +248,7 @@
         const val IMAGE_COST = 30.0
 
         /** Ranks of image: there, being fetched, to be fetched. */
+        const val THERE = 0
         const val FETCHING = 1
         const val ANYWHERE = 2
 
