--- a/src/test/kotlin/mintfield/TraceTest.kt
+++ b/src/test/kotlin/mintfield/TraceTest.kt
@@ -1,6 +1,7 @@
 package mintfield
 
 import mintfield.core.CommitResult
+import mintfield.core.Hints
 import mintfield.core.ReportAnswer
 import mintfield.core.Scheduler
 import mintfield.core.Write
@@ -60,6 +61,7 @@
                 when (words[0]) {
                     "at" -> emptyList<String>().also { now = words[1].toLong() }
                     "ready" -> emptyList<String>().also { scheduler.replayDone(now) }
+                    "recall" -> recall(words[1], words[2])
                     "job" -> job(words)
                     "abort" -> abort(words[1])
                     "list" -> list(words.drop(1))
@@ -74,6 +76,14 @@
             return shown + logged.map { "log: $it" }
         }
 
+        private fun recall(
+            machine: String,
+            image: String,
+        ): List<String> {
+            scheduler.recall(Hints(mapOf(image to 1.0), mapOf(machine to listOf(image)), emptyMap()))
+            return emptyList()
+        }
+
         private fun option(
             words: List<String>,
             name: String,
