--- /dev/null
+++ b/src/test/kotlin/mintfield/LargeJobTest.kt
@@ -0,0 +1,57 @@
+package mintfield
+
+import mintfield.core.CommitResult
+import mintfield.core.Scheduler
+import mintfield.core.Write
+import mintfield.core.model.ReportedState
+import mintfield.core.model.ReportedTask
+import mintfield.core.model.TaskId
+import mintfield.io.store.Records
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class LargeJobTest {
+    @Test
+    fun `a job of 100,000 tasks is planned in transactions that fit the smaller deployment`() {
+        val big = Fixtures.box.copy(cpus = 64.0, memoryGb = 256.0)
+        val scheduler = Scheduler(Fixtures.settings, 1) { }
+        scheduler.types(listOf(big), 0)
+        scheduler.replayDone(0)
+        repeat(40) { scheduler.report(Fixtures.report("m-%06d".format(it), 1, 1), mayAct = true, nowMs = 1) }
+        val spec = Fixtures.spec("wk-000001", tasks = 100_000)
+        scheduler.jobChanged(Fixtures.accepted(spec, 2), 1)
+        assertTrue(Records.live(Fixtures.accepted(spec, 2)).size < 8 * 1024)
+        var now = 1_000L
+        var done = 0
+        val tallies = LongArray(40) { 1 }
+        repeat(10) {
+            now += 300
+            scheduler.nextCommit(now, now, 16)?.let { commit ->
+                assertTrue(commit.writes.size <= 16)
+                val sizes = commit.writes.filterIsInstance<Write.Progress>().map { Records.shard(it.record, it.shard).size }
+                assertTrue(sizes.all { it <= 8 * 1024 }, "$sizes")
+                scheduler.committed(commit, CommitResult.Done(now), now)
+            }
+            // Every worker at once reports as done what it was told to start.
+            for (m in scheduler.cluster.machines.values
+                .toList()) {
+                val n = m.id.substringAfter('-').toInt()
+                val ended =
+                    m.attempts.map {
+                        ReportedTask(TaskId(spec.id, it.index), it.number, ReportedState.ENDED, mintfield.core.model.EndCause.DONE)
+                    }
+                done += ended.size
+                scheduler.report(Fixtures.report(m.id, ++tallies[n], 1, *ended.toTypedArray()), mayAct = true, nowMs = now)
+            }
+        }
+        assertEquals(
+            done,
+            scheduler.cluster.jobs
+                .getValue(spec.id)
+                .done
+                .cardinality(),
+        )
+        assertTrue(done > 2_000, "only $done done")
+    }
+}
--- a/src/test/kotlin/mintfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/mintfield/sim/SimulationTest.kt
@@ -65,6 +65,22 @@
         assertTrue(caught(SimWorld.Faults(forgetQuota = true)).message!!.startsWith("quota"))
     }
 
+    @Test
+    fun `a leader that does not know of zones and kinds is caught`() {
+        assertTrue(caught(SimWorld.Faults(hideZones = true)).message!!.startsWith("wrong_place"))
+    }
+
+    @Test
+    fun `a leader that never hears of an abort is caught`() {
+        val rule = caught(SimWorld.Faults(hideAborts = true)).message!!
+        assertTrue(rule.startsWith("ran_cancelled") || rule.startsWith("went_back"), rule)
+    }
+
+    @Test
+    fun `an end that overwrites an abort is caught`() {
+        assertTrue(caught(SimWorld.Faults(hideAborts = true, unguarded = true)).message!!.let { it.startsWith("went_back") || it.startsWith("ran_cancelled") })
+    }
+
     @Test
     fun `a leader that calls jobs done too early is caught`() {
         assertTrue(caught(SimWorld.Faults(finishEarly = true)).message!!.startsWith("not_done"))
