--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -35,6 +35,7 @@
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps, settings.stateWriteRps))
     private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress)
+    private val reader = WorkerCodec.Reader()
     private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
 
     fun run() {
@@ -121,7 +122,7 @@
         leader: Leader,
         body: ByteArray,
     ): Response {
-        val report = WorkerCodec.report(body) ?: return Response.error(400, "not a report")
+        val report = reader.report(body) ?: return Response.error(400, "not a report")
         return when (val answer = leader.report(report)) {
             ReportAnswer.Deposed -> {
                 Log.info("${report.machine} has seen term ${report.termSeen}: a newer leader is about")
@@ -146,7 +147,7 @@
     override fun relayed(body: ByteArray): Response {
         val leader = member.leader ?: return Response(503, Json.obj { })
         if (isolated(leader)) return Response(503, Json.obj { })
-        val report = WorkerCodec.report(body) ?: return Response.error(400, "not a report")
+        val report = reader.report(body) ?: return Response.error(400, "not a report")
         if (leader.comesDirectly(report.machine)) return Response(421, Json.obj { })
         return answer(leader, body)
     }
@@ -165,14 +166,14 @@
     private fun progress(id: String): Progress? {
         val scheduler = member.leader?.scheduler ?: return peers.progress(id)
         val job = scheduler.cluster.jobs[id] ?: return null
-        return Progress(job.done.cardinality(), scheduler.runningCount(job))
+        return Progress(job.doneTasks, scheduler.runningCount(job))
     }
 
     /** What the leader tells its siblings of each job, for display. */
     override fun progressNote(): Map<String, Progress> {
         val leader = member.leader ?: return emptyMap()
         return leader.scheduler.cluster.jobs.values.associate {
-            it.spec.id to Progress(it.done.cardinality(), leader.scheduler.runningCount(it))
+            it.spec.id to Progress(it.doneTasks, leader.scheduler.runningCount(it))
         }
     }
 
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -114,8 +114,7 @@
         index: Int,
         nowMs: Long,
     ) {
-        if (job.done.get(index)) return
-        job.done.set(index)
+        if (!job.setDone(index)) return
         job.stale.putIfAbsent(Shards.of(index), nowMs)
     }
 
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -79,7 +79,7 @@
         val from = shard * Shards.TASKS
         job.writtenShards.add(shard)
         record.done.stream().forEach {
-            job.done.set(from + it)
+            job.setDone(from + it)
             job.doneWritten.set(from + it)
         }
         for (g in record.plans) {
@@ -203,7 +203,7 @@
             if (calls.size >= most) break
             if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs) continue
             if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS || m.unansweredTerm >= cluster.term) continue
-            if (m.attempts.none { it.state == AttemptState.PLANNED && !it.job.withdrawn }) continue
+            if (m.count(AttemptState.PLANNED) == 0 || m.attempts.none { it.state == AttemptState.PLANNED && !it.job.withdrawn }) continue
             val address = m.address ?: continue
             val orders = reports.orders(m, checkin = false, nowMs)
             if (orders.none { it is Order.Run }) continue
@@ -421,10 +421,11 @@
                 }
             }
         }
-        if (!planned || job.activeAttempts.none { it.state == AttemptState.PLANNING && Shards.of(it.index) == write.shard }) {
+        val none = job.count(AttemptState.PLANNING) == 0
+        if (!planned || none || job.activeAttempts.none { it.state == AttemptState.PLANNING && Shards.of(it.index) == write.shard }) {
             job.dirtyPlans.remove(write.shard)
         }
-        if (Shards.record(job, write.shard) == write.record) job.stale.remove(write.shard) else job.stale[write.shard] = nowMs
+        if (job.version(write.shard) == write.record.version) job.stale.remove(write.shard) else job.stale[write.shard] = nowMs
     }
 
     // ---- the cloud ----
@@ -438,7 +439,7 @@
     ) = fleet.listed(page, hasNext, nowMs)
 
     /** Attempts that run, for what users are shown. */
-    fun runningCount(job: Job): Int = job.activeAttempts.count { it.state == AttemptState.RUNNING }
+    fun runningCount(job: Job): Int = job.count(AttemptState.RUNNING)
 
     /** One line for the log: how much runs where. */
     fun summary(): String {
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -28,6 +28,9 @@
     /** Milliseconds that a connection may rest between requests; users poll every 5 s. */
     const val SERVER_IDLE_MS = 60_000L
 
+    /** Milliseconds between looks at the connections for those that rest or take too long; a timer each would cost more. */
+    const val SERVER_SWEEP_MS = 1_000L
+
     /** Milliseconds for a begun message to be whole, and for an answer to be taken. */
     const val SERVER_SLOW_MS = 10_000L
 
@@ -127,6 +130,9 @@
     /** Milliseconds added before a worker's lease counts as certainly expired. */
     const val WORKER_LEASE_MARGIN_MS = 500L
 
+    /** Machines whose last list of tasks is remembered, so that the same one need not be read again. */
+    const val REMEMBERED_REPORTS = 1_000
+
     // --- Placement ---
 
     /** Milliseconds between rounds; a write under way widens them further. */
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -287,7 +287,7 @@
         var services = 0.0
         for (job in cluster.jobs.values) {
             if (job.withdrawn) continue
-            val want = (job.spec.tasks - job.done.cardinality()) * job.spec.cpus
+            val want = (job.spec.tasks - job.doneTasks) * job.spec.cpus
             if (job.spec.shape == Shape.SERVICE) services += want else arrays += want
         }
         var ordinary = 0.0
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -2,8 +2,10 @@
 
 import mintfield.core.Tuning
 import mintfield.core.jobs.Attempt
+import mintfield.core.jobs.AttemptState
 import mintfield.core.model.MachineType
 import mintfield.core.model.Report
+import mintfield.core.model.Shape
 
 enum class MachineState {
     /** Rented; its worker has not reported to this leader. */
@@ -62,6 +64,20 @@
     var directPausedUntilMs = 0L
 
     val attempts = LinkedHashSet<Attempt>()
+
+    /** Attempts by state, and by image: asked for at every round, so never counted anew. */
+    private val byState = IntArray(AttemptState.entries.size)
+    private val byImage = HashMap<String, Int>()
+
+    /** CPUs that replicas of services occupy here. */
+    var serviceCpus = 0.0
+        private set
+
+    /**
+     * The last report agreed with what is planned and left nothing to order. Until an attempt here changes or another
+     * list of tasks comes, there is nothing to do.
+     */
+    var quiet = false
     var cpus = 0.0
         private set
     var gpus = 0.0
@@ -99,6 +115,10 @@
 
     fun occupy(a: Attempt) {
         if (!attempts.add(a)) return
+        quiet = false
+        byState[a.state.ordinal]++
+        byImage.merge(a.job.spec.image, 1, Int::plus)
+        if (a.job.spec.shape == Shape.SERVICE) serviceCpus += a.job.spec.cpus
         cpus += a.job.spec.cpus
         gpus += a.job.spec.gpus
         memoryGb += a.job.spec.memoryGb
@@ -106,7 +126,12 @@
 
     fun vacate(a: Attempt) {
         if (!attempts.remove(a)) return
+        quiet = false
+        byState[a.state.ordinal]--
+        byImage.computeIfPresent(a.job.spec.image) { _, n -> if (n > 1) n - 1 else null }
+        if (a.job.spec.shape == Shape.SERVICE) serviceCpus -= a.job.spec.cpus
         if (attempts.isEmpty()) {
+            serviceCpus = 0.0
             cpus = 0.0
             gpus = 0.0
             memoryGb = 0.0
@@ -117,6 +142,21 @@
         memoryGb -= a.job.spec.memoryGb
     }
 
+    /** An attempt here changes its state. */
+    fun counted(
+        from: AttemptState,
+        to: AttemptState,
+    ) {
+        quiet = false
+        byState[from.ordinal]--
+        byState[to.ordinal]++
+    }
+
+    fun count(state: AttemptState): Int = byState[state.ordinal]
+
+    /** Whether a task that needs [image] is planned or at work here, so that the image is there or on its way. */
+    fun awaitsImage(image: String) = byImage.containsKey(image)
+
     fun holds(
         cpus: Double,
         gpus: Double,
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -55,6 +55,8 @@
     ) {
         if (next == state) return
         check(next in allowed.getValue(state)) { "${job.spec.id}/$index: $state to $next" }
+        job.counted(state, next)
+        machine.counted(state, next)
         state = next
         changedAtMs = nowMs
     }
@@ -86,12 +88,21 @@
     val fits: Set<String> = accepted.fits.toSet()
     var withdrawn = accepted.withdrawn
 
+    /** Done tasks; to be changed by [setDone] only. */
     val done = BitSet(spec.tasks)
 
     /** The part of [done] that the state service has. */
     val doneWritten = BitSet(spec.tasks)
     private val attempts = HashMap<Int, Attempt>()
 
+    /** Attempts by state, and those of tasks that are done: asked for at every step, so never counted anew. */
+    private val byState = IntArray(AttemptState.entries.size)
+    private var doneWithAttempt = 0
+    private var doneCount = 0
+
+    /** Rises with every change of what a shard's record would hold; tells if a written record is still the present one. */
+    private val versions = HashMap<Int, Long>()
+
     /** Lowest number that may still wait. */
     private var firstWaiting = 0
 
@@ -121,18 +132,56 @@
 
     fun put(attempt: Attempt) {
         check(attempts.put(attempt.index, attempt) == null) { "${spec.id}/${attempt.index} is planned twice" }
+        byState[attempt.state.ordinal]++
+        if (done.get(attempt.index)) doneWithAttempt++
+        changed(attempt.index)
     }
 
     fun remove(attempt: Attempt) {
         if (attempts[attempt.index] === attempt) {
             attempts.remove(attempt.index)
+            byState[attempt.state.ordinal]--
+            if (done.get(attempt.index)) doneWithAttempt--
             if (attempt.index < firstWaiting) firstWaiting = attempt.index
+            changed(attempt.index)
         }
     }
 
-    val waitingCount: Int get() = spec.tasks - done.cardinality() - attempts.keys.count { !done.get(it) }
+    /** An attempt of this job changes its state. */
+    fun counted(
+        from: AttemptState,
+        to: AttemptState,
+    ) {
+        byState[from.ordinal]--
+        byState[to.ordinal]++
+    }
+
+    fun count(state: AttemptState): Int = byState[state.ordinal]
+
+    /** The only place where a task of this job becomes done; false if it was. */
+    fun setDone(index: Int): Boolean {
+        if (done.get(index)) return false
+        done.set(index)
+        doneCount++
+        if (attempts.containsKey(index)) doneWithAttempt++
+        changed(index)
+        return true
+    }
+
+    private fun changed(index: Int) {
+        versions.merge(Shards.of(index), 1L, Long::plus)
+    }
+
+    fun version(shard: Int): Long = versions[shard] ?: 0L
+
+    val doneTasks: Int get() = doneCount
+
+    val waitingCount: Int get() = spec.tasks - doneCount - attempts.size + doneWithAttempt
+
+    val allDone: Boolean get() = doneCount == spec.tasks
 
-    val allDone: Boolean get() = done.cardinality() == spec.tasks
+    /** Whether any of its tasks was ever seen at work, or is planned now. */
+    val begun: Boolean get() = doneCount > 0 || attempts.isNotEmpty()
 
     /** Up to [most] tasks that are neither done nor planned, in order. */
     fun waiting(most: Int): List<Int> {
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -33,9 +33,12 @@
         m.termSeen = maxOf(m.termSeen, report.termSeen)
         m.address = report.address
         m.heardAtMs = nowMs
+        val same = m.quiet && report.tasks === m.lastReport?.tasks
         m.lastReport = report
         m.takenAtMs = report.noticeS?.let { nowMs + (it * 1000).toLong() }
         if (m.state == MachineState.AWAITED || m.state == MachineState.SILENT) m.moveTo(MachineState.UP, nowMs)
+        if (same) return true
+        m.quiet = false
         val seen = HashMap<TaskId, ReportedTask>(report.tasks.size * 2)
         report.tasks.forEach { seen[it.task] = it }
         val trusted = trusted(m, report)
@@ -190,6 +193,7 @@
         nowMs: Long,
     ): List<Order> {
         val report = m.lastReport ?: return emptyList()
+        if (m.quiet) return emptyList()
         val halts = ArrayList<Order>()
         val clears = ArrayList<Order>()
         val seen = HashSet<TaskId>(report.tasks.size * 2)
@@ -220,6 +224,10 @@
             a.everSent = true
             if (a.state == AttemptState.PLANNED) a.moveTo(AttemptState.STARTING, nowMs)
         }
+        if (halts.isEmpty() && clears.isEmpty() && runs.isEmpty()) {
+            m.quiet = seen.size == m.attempts.size && seen.size == report.tasks.size && report.tasks.none { it.state == ReportedState.ENDED }
+            return emptyList()
+        }
         return (halts + clears + runs).take(MAX_ORDERS)
     }
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -105,24 +105,18 @@
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
         val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
-        val fitting =
-            open.filter {
-                it.type.name in job.fits &&
-                    (spec.types == null || it.type.name in spec.types) &&
-                    (!it.spot || spec.spot) &&
-                    zones.allows(it.zone) &&
-                    !(it.id in job.failedOn && job.failedOn.size < open.size / 2)
-            }
+        val fitting = open.filter { fits(job, it, open.size) && zones.allows(it.zone) }
         if (spec.shape == Shape.GANG && roomFor(spec, fitting) < job.waitingCount) return 0
-        val ranked = fitting.sortedWith(preference(spec)).map { Rank(it, imageRank(it, spec.image)) }
+        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, keep), spec.gpus, spec.memoryGb) })
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
-        val mayDisplace = spec.priority < Priority.NORMAL
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
-        val phases = if (mayDisplace) URGENT_PHASES else PLAIN_PHASES
+        val phases = if (spec.priority < Priority.NORMAL) URGENT_PHASES else PLAIN_PHASES
         for ((worstImage, displacing) in phases) {
-            val places = ranked.filter { it.image <= minOf(worstImage, worst) && zones.allows(it.machine.zone) }
+            if (!tasks.hasNext()) break
+            val limit = minOf(worstImage, worst)
             if (displacing) {
+                val places = ranked(job, fitting.filter { imageRank(it, spec.image) <= limit })
                 while (tasks.hasNext()) {
                     val m = displace(job, places.filter { zones.allows(it.machine.zone) }, nowMs) ?: break
                     plan(job, tasks.next(), number, m, nowMs)
@@ -130,9 +124,11 @@
                     planned++
                 }
             } else {
-                for (r in places) {
+                for (r in roomy) {
+                    if (!tasks.hasNext()) break
+                    if (r.image > limit) continue
                     val m = r.machine
-                    val margin = if (m.spot) 0.0 else keep
+                    val margin = margin(m, keep)
                     while (tasks.hasNext() && m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) && zones.allows(m.zone)) {
                         plan(job, tasks.next(), number, m, nowMs)
                         zones.placed(m.zone)
@@ -140,7 +136,6 @@
                     }
                 }
             }
-            if (!tasks.hasNext()) break
         }
         if (spec.shape == Shape.GANG && job.waitingCount > 0) {
             job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "the rest of its gang has no room") }
@@ -149,6 +144,23 @@
         return planned
     }
 
+    private fun fits(
+        job: Job,
+        m: Machine,
+        openCount: Int,
+    ): Boolean {
+        val spec = job.spec
+        return m.type.name in job.fits &&
+            (spec.types == null || m.type.name in spec.types) &&
+            (!m.spot || spec.spot) &&
+            !(m.id in job.failedOn && job.failedOn.size < openCount / 2)
+    }
+
+    private fun margin(
+        m: Machine,
+        keep: Double,
+    ) = if (m.spot) 0.0 else keep
+
     private fun roomFor(
         spec: JobSpec,
         machines: List<Machine>,
@@ -163,23 +175,26 @@
     private class Rank(
         val machine: Machine,
         val image: Int,
+        val kind: Int,
     )
 
-    /** Where the image is, then spot machines for those who may use them, then the fullest. */
-    private fun preference(spec: JobSpec) =
-        compareBy<Machine> { imageRank(it, spec.image) }
-            .thenBy { if (spec.spot && !it.spot) 1 else 0 }
-            .thenBy { it.freeCpus }
-            .thenBy { it.id }
+    /** Where the image is, then spot machines for those who may use them, then the fullest. Each key is worked out once. */
+    private fun ranked(
+        job: Job,
+        machines: List<Machine>,
+    ): List<Rank> =
+        machines
+            .map { Rank(it, imageRank(it, job.spec.image), if (job.spec.spot && !it.spot) 1 else 0) }
+            .sortedWith(BEST_FIRST)
 
     private fun imageRank(
         m: Machine,
         image: String,
     ): Int =
         when {
-            m.hasImage(image) -> 0
-            m.attempts.any { it.job.spec.image == image } -> 1
-            else -> 2
+            m.hasImage(image) -> THERE
+            m.awaitsImage(image) -> FETCHING
+            else -> ANYWHERE
         }
 
     private fun plan(
@@ -244,6 +259,12 @@
     }
 
     private companion object {
+        val BEST_FIRST =
+            compareBy<Rank> { it.image }
+                .thenBy { it.kind }
+                .thenBy { it.machine.freeCpus }
+                .thenBy { it.machine.id }
+
         /** Cost, in CPU seconds of lost work, of a place where the image must still be fetched. */
         const val IMAGE_COST = 30.0
 
--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -100,8 +100,7 @@
         var cpus = 0.0
         for (m in cluster.machines.values) {
             if (m.state != MachineState.UP) continue
-            cpus += m.type.cpus
-            for (a in m.attempts) if (a.job.spec.shape == Shape.SERVICE) cpus -= a.job.spec.cpus
+            cpus += m.type.cpus - m.serviceCpus
         }
         return cpus
     }
@@ -118,7 +117,7 @@
         if (dues.isEmpty()) dues.add(job.acceptedAtMs + DEFAULT_DUE_MS + expected * 1000)
         dues.removeAll { it < wallMs + expected * 1000 }
         dues.sort()
-        val left = spec.tasks - job.done.cardinality() - job.activeAttempts.size / 2.0
+        val left = spec.tasks - job.doneTasks - job.activeAttempts.size / 2.0
         return Claim(job, dues, left * spec.cpus * expected, expected)
     }
 
--- a/src/main/kotlin/mintfield/io/http/HttpServer.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpServer.kt
@@ -39,7 +39,12 @@
     private val maxConnections: Int,
     private val handler: suspend (HttpMessage) -> Response,
 ) {
-    private var open = 0
+    private class Connection(
+        val channel: AsynchronousSocketChannel,
+        var closeAtMs: Long,
+    )
+
+    private val connections = LinkedHashSet<Connection>()
     private lateinit var listener: AsynchronousServerSocketChannel
 
     val port: Int get() = (listener.localAddress as InetSocketAddress).port
@@ -49,6 +54,16 @@
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true)
         listener.bind(address, Tuning.ACCEPT_BACKLOG)
         scope.launch { acceptAll() }
+        scope.launch { sweep() }
+    }
+
+    /** Closes connections that rest for too long, or take too long over a message. */
+    private suspend fun sweep() {
+        while (true) {
+            delay(Tuning.SERVER_SWEEP_MS)
+            val now = loop.nowMs()
+            for (c in connections) if (now > c.closeAtMs) c.channel.closeQuietly()
+        }
     }
 
     private suspend fun acceptAll() {
@@ -61,34 +76,35 @@
                     delay(Tuning.ACCEPT_PAUSE_MS)
                     continue
                 }
-            if (open >= maxConnections) {
+            if (connections.size >= maxConnections) {
                 channel.closeQuietly()
                 continue
             }
-            open++
+            val connection = Connection(channel, loop.nowMs() + Tuning.SERVER_IDLE_MS)
+            connections.add(connection)
             scope.launch {
                 try {
                     channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-                    serve(channel)
+                    serve(connection)
                 } catch (_: IOException) {
                     // The peer went away; nothing is owed to it.
                 } finally {
-                    open--
+                    connections.remove(connection)
                     channel.closeQuietly()
                 }
             }
         }
     }
 
-    private suspend fun serve(channel: AsynchronousSocketChannel) {
+    private suspend fun serve(connection: Connection) {
         val parser = HttpParser(Tuning.MAX_HEAD_BYTES, Tuning.MAX_BODY_BYTES, response = false)
         val input = ByteBuffer.allocate(Tuning.SERVER_READ_BYTES)
         while (true) {
             val request =
                 try {
-                    read(channel, parser, input) ?: return
+                    read(connection, parser, input) ?: return
                 } catch (fault: HttpFault) {
-                    write(channel, Response.error(fault.status, fault.message ?: "bad request"), close = true)
+                    write(connection, Response.error(fault.status, fault.message ?: "bad request"), close = true)
                     return
                 }
             val response =
@@ -99,37 +115,36 @@
                     Response.error(500, "internal error")
                 }
             val close = response.close || !request.keepAlive
-            write(channel, response, close)
+            write(connection, response, close)
             if (close) return
         }
     }
 
     private suspend fun read(
-        channel: AsynchronousSocketChannel,
+        connection: Connection,
         parser: HttpParser,
         input: ByteBuffer,
     ): HttpMessage? {
         parser.next()?.let { return it }
         // An idle connection may rest; one that has begun a message must finish it soon.
-        val idleTimer = loop.after(Tuning.SERVER_IDLE_MS) { channel.closeQuietly() }
-        var slowTimer: EventLoop.Timer? = null
-        try {
-            while (true) {
-                input.clear()
-                if (channel.receive(input) < 0) return null
-                input.flip()
-                parser.feed(input)
-                parser.next()?.let { return it }
-                if (slowTimer == null) slowTimer = loop.after(Tuning.SERVER_SLOW_MS) { channel.closeQuietly() }
+        connection.closeAtMs = loop.nowMs() + Tuning.SERVER_IDLE_MS
+        var begun = false
+        while (true) {
+            input.clear()
+            if (connection.channel.receive(input) < 0) return null
+            input.flip()
+            parser.feed(input)
+            parser.next()?.let {
+                connection.closeAtMs = Long.MAX_VALUE
+                return it
             }
-        } finally {
-            idleTimer.cancel()
-            slowTimer?.cancel()
+            if (!begun) connection.closeAtMs = loop.nowMs() + Tuning.SERVER_SLOW_MS
+            begun = true
         }
     }
 
     private suspend fun write(
-        channel: AsynchronousSocketChannel,
+        connection: Connection,
         response: Response,
         close: Boolean,
     ) {
@@ -144,12 +159,8 @@
         response.allow?.let { head.append("\r\nAllow: ").append(it) }
         if (close) head.append("\r\nConnection: close")
         head.append("\r\n\r\n")
-        val timer = loop.after(Tuning.SERVER_SLOW_MS) { channel.closeQuietly() }
-        try {
-            channel.sendAll(message(head, response.body))
-        } finally {
-            timer.cancel()
-        }
+        connection.closeAtMs = loop.nowMs() + Tuning.SERVER_SLOW_MS
+        connection.channel.sendAll(message(head, response.body))
     }
 
     private fun reason(status: Int) =
--- a/src/main/kotlin/mintfield/io/worker/WorkerCodec.kt
+++ b/src/main/kotlin/mintfield/io/worker/WorkerCodec.kt
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.JsonToken
+import mintfield.core.Tuning
 import mintfield.core.model.EndCause
 import mintfield.core.model.Order
 import mintfield.core.model.Report
@@ -11,17 +12,52 @@
 import mintfield.core.model.ReportedTask
 import mintfield.core.model.TaskId
 import mintfield.io.json.Json
+import java.util.Arrays
 
 /** Reports and orders in the wire's words. Reports are the most frequent messages, so they are read as a stream. */
 object WorkerCodec {
-    fun report(bytes: ByteArray): Report? =
+    /** What a report said of its tasks: the bytes from there to its end, and what they meant. */
+    private class Said(
+        val body: ByteArray,
+        val from: Int,
+        val tasks: List<ReportedTask>,
+    ) {
+        fun again(
+            bytes: ByteArray,
+            at: Int,
+        ) = Arrays.equals(bytes, at, bytes.size, body, from, body.size)
+    }
+
+    /**
+     * Reads reports, and remembers each machine's last list of tasks: most reports bring the same one again, to the
+     * byte, and then it is neither parsed nor, being the same object, looked at again.
+     */
+    class Reader {
+        private val said =
+            object : LinkedHashMap<String, Said>(64, 0.75f, true) {
+                override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Said>) = size > Tuning.REMEMBERED_REPORTS
+            }
+
+        fun report(bytes: ByteArray): Report? = parse(bytes, said)
+    }
+
+    fun report(bytes: ByteArray): Report? = parse(bytes, null)
+
+    private fun parse(
+        bytes: ByteArray,
+        said: MutableMap<String, Said>?,
+    ): Report? =
         try {
-            Json.factory.createParser(bytes).use { p -> if (p.nextToken() == JsonToken.START_OBJECT) report(p) else null }
+            Json.factory.createParser(bytes).use { p -> if (p.nextToken() == JsonToken.START_OBJECT) report(p, bytes, said) else null }
         } catch (_: JsonProcessingException) {
             null
         }
 
-    private fun report(p: JsonParser): Report? {
+    private fun report(
+        p: JsonParser,
+        bytes: ByteArray,
+        said: MutableMap<String, Said>?,
+    ): Report? {
         var machine: String? = null
         var address = ""
         var type = ""
@@ -32,9 +68,11 @@
         var term = 0L
         var notice: Double? = null
         var tasks: List<ReportedTask> = emptyList()
-        while (p.nextToken() == JsonToken.FIELD_NAME) {
+        var next = p.nextToken()
+        while (next == JsonToken.FIELD_NAME) {
             val field = p.currentName()
             val token = p.nextToken()
+            next = null
             when (field) {
                 "plot" -> machine = p.valueAsString
                 "address" -> address = p.valueAsString ?: ""
@@ -45,9 +83,24 @@
                 "tally" -> tally = p.valueAsLong
                 "staff" -> term = p.valueAsLong
                 "reclaimS" -> notice = if (token == JsonToken.VALUE_NULL) null else p.valueAsDouble
-                "pieces" -> if (token == JsonToken.START_ARRAY) tasks = tasks(p) else p.skipChildren()
+                "pieces" ->
+                    if (token == JsonToken.START_ARRAY) {
+                        val at = p.currentTokenLocation().byteOffset.toInt()
+                        val before = machine?.let { said?.get(it) }
+                        if (before != null && before.again(bytes, at)) {
+                            tasks = before.tasks
+                            break
+                        }
+                        tasks = tasks(p)
+                        next = p.nextToken()
+                        // Only if nothing follows does the rest of the bytes tell all that has not been read.
+                        if (next == JsonToken.END_OBJECT && said != null) machine?.let { said[it] = Said(bytes, at, tasks) }
+                    } else {
+                        p.skipChildren()
+                    }
                 else -> p.skipChildren()
             }
+            next = next ?: p.nextToken()
         }
         if (machine == null || season < 0 || tally < 0) return null
         return Report(machine, address, type, zone, spot, season, tally, term, notice, tasks)
