--- a/src/main/kotlin/mintfield/app/ChangeWriter.kt
+++ b/src/main/kotlin/mintfield/app/ChangeWriter.kt
@@ -46,6 +46,13 @@
 
     private val queue = ArrayDeque<Change>()
     private var lanes = 0
+    private var mostOps = txnOps
+
+    /** Told when the store refuses changes as too many, so that the leader can leave room for them. */
+    var onCrowded: () -> Unit = {}
+
+    /** Whether changes wait for their turn at the store. */
+    val crowded: Boolean get() = queue.isNotEmpty() || mostOps < txnOps
 
     /** False when so much waits already that a further change would only grow old. */
     val open: Boolean get() = queue.size < Tuning.MAX_WAITING_CHANGES
@@ -84,7 +91,7 @@
         var bytes = 0
         while (true) {
             val next = queue.firstOrNull() ?: break
-            if (batch.isNotEmpty() && (ops + next.writes.size > txnOps || bytes + next.bytes > Tuning.MAX_TXN_BYTES)) break
+            if (batch.isNotEmpty() && (ops + next.writes.size > mostOps || bytes + next.bytes > Tuning.MAX_TXN_BYTES)) break
             ops += next.writes.size
             bytes += next.bytes
             batch.add(queue.removeFirst())
@@ -98,7 +105,10 @@
             when (val r = store.txn(batch.flatMap { it.guards }, batch.flatMap { it.writes })) {
                 is StoreResult.Ok ->
                     when (val outcome = r.value) {
-                        is TxnOutcome.Applied -> return finish(batch, ChangeResult.APPLIED)
+                        is TxnOutcome.Applied -> {
+                            mostOps = minOf(txnOps, mostOps * 2)
+                            return finish(batch, ChangeResult.APPLIED)
+                        }
 
                         is TxnOutcome.Failed -> {
                             val failed = outcome.keys.toSet()
@@ -116,7 +126,9 @@
                     if (r.status != TOO_MANY) return finish(batch, ChangeResult.REFUSED)
                     val (old, young) = batch.partition { loop.nowMs() - it.sinceMs > Tuning.CHANGE_PATIENCE_MS }
                     finish(old, ChangeResult.REFUSED)
-                    batch = young
+                    onCrowded()
+                    mostOps = maxOf(Tuning.CHANGE_LEAST_OPS, mostOps / 2)
+                    batch = putBack(young)
                     if (batch.isNotEmpty()) delay(Tuning.STORE_RETRY_MS)
                 }
 
@@ -128,6 +140,14 @@
         }
     }
 
+    /** Leaves as much of [batch] as may now go at once; the rest is first in the queue again. */
+    private fun putBack(batch: List<Change>): List<Change> {
+        var ops = 0
+        val kept = batch.takeWhile { c -> (ops == 0 || ops + c.writes.size <= mostOps).also { ops += c.writes.size } }
+        batch.drop(kept.size).asReversed().forEach { queue.addFirst(it) }
+        return kept
+    }
+
     private fun finish(
         batch: List<Change>,
         result: ChangeResult,
--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -67,6 +67,22 @@
         return last == null || now - last > Tuning.RELAY_AGAIN_MS
     }
 
+    private var yieldUntilMs = 0L
+
+    /** Changes of users wait for the store: leaves them room for a while. */
+    fun giveWay() {
+        yieldUntilMs = loop.nowMs() + Tuning.YIELD_MS
+        writes.rate = settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE_YIELDING
+    }
+
+    private fun writesAvailable(): Double {
+        if (yieldUntilMs > 0 && loop.nowMs() > yieldUntilMs) {
+            yieldUntilMs = 0
+            writes.rate = settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE
+        }
+        return writes.available
+    }
+
     fun kick() {
         wake.trySend(Unit)
     }
@@ -84,13 +100,15 @@
 
     private suspend fun renew() {
         while (true) {
+            var failed = 0
             delay(Tuning.LEADER_RENEW_MS)
             while (true) {
                 val sentAt = loop.nowMs()
                 when (val r = store.renewLease(lease)) {
                     is StoreResult.Ok -> if (r.value) clock.renewed(sentAt) else return deposed("the lease has ended")
                     else -> {
-                        Log.info("the lease was not renewed: $r; ${leaseLeftMs()} ms left")
+                        // In an outage this comes again and again; once a renewal is enough to see how time runs out.
+                        if (++failed % LOG_EVERY == 1) Log.info("the lease was not renewed: $r; ${leaseLeftMs()} ms left")
                         delay(Tuning.STORE_RETRY_MS)
                         continue
                     }
@@ -174,7 +192,7 @@
         while (true) {
             withTimeoutOrNull(IDLE_WAIT_MS) { wake.receive() }
             while (mayAct()) {
-                val ops = minOf(settings.txnOps, writes.available.toInt())
+                val ops = minOf(settings.txnOps, writesAvailable().toInt())
                 val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops) ?: break
                 carryOut(commit)
                 sendDirect()
@@ -216,6 +234,7 @@
 
                 is StoreResult.Refused -> {
                     Log.debug("a commit of ${puts.size} writes was refused with ${r.status}")
+                    if (r.status == TOO_MANY) giveWay()
                     delay(Tuning.STORE_RETRY_MS)
                     CommitResult.Refused
                 }
@@ -372,6 +391,8 @@
 
     companion object {
         private const val IDLE_WAIT_MS = 100L
+        private const val LOG_EVERY = 16
+        private const val TOO_MANY = 429
         private const val WRITE_OVERHEAD = 110
 
         fun leaderValue(
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -32,7 +32,7 @@
         JobView(outside.store, scope, checkGapMs) { fittingTypes(it.spec, outside.types.values) }
     private val member = Member(loop, scope, outside, view) { peers.announce() }
     private val changes =
-        ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps, settings.stateWriteRps))
+        ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress)
     private val reader = WorkerCodec.Reader()
@@ -44,6 +44,7 @@
             HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
             HttpServer(loop, scope, group, PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
             outside.store.onAnswer = peers::storeAnswered
+            changes.onCrowded = { member.leader?.giveWay() }
             scope.launch { member.run() }
             scope.launch { prepare() }
             peers.start()
@@ -158,6 +159,12 @@
             ?.cluster
             ?.term ?: 0
 
+    override fun crowded() = changes.crowded
+
+    override fun siblingCrowded() {
+        member.leader?.giveWay()
+    }
+
     override fun siblingLeads(
         member: String,
         term: Long,
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -42,10 +42,15 @@
 
     fun usage(team: String): Usage = usage.getOrPut(team) { Usage() }
 
-    /** A new number for the attempts of one round; never used before, by any leader. */
-    fun nextAttemptNumber(): Long {
-        attemptNumber = maxOf(attemptNumber + 1, term * Tuning.ATTEMPTS_PER_TERM)
-        return attemptNumber
+    /**
+     * A number for the attempts of one round, never used by an earlier round or leader. It counts as used only when
+     * something is planned with it, which costs a write and so a revision: the numbers of a term, which starts at its
+     * revision times a constant, can then never reach those of the next.
+     */
+    fun attemptNumber(): Long = maxOf(attemptNumber + 1, term * Tuning.ATTEMPTS_PER_TERM)
+
+    fun attemptUsed(number: Long) {
+        attemptNumber = number
     }
 
     /** How many further tasks of [spec] its team's limit allows now. */
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -296,7 +296,8 @@
             writes.add(Write.DropIntent(plea))
             left--
         }
-        left = addDone(writes, left, nowMs)
+        val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
+        left = addDone(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
         if (left > 0 && nowMs - lastHintsMs >= Tuning.HINTS_MS) {
             lastHintsMs = nowMs
             writes.add(Write.Remember(hints()))
@@ -309,6 +310,7 @@
     private fun addDone(
         writes: MutableList<Write>,
         room: Int,
+        patienceMs: Long,
         nowMs: Long,
     ): Int {
         var left = room
@@ -324,7 +326,7 @@
             if (job.allDone) continue
             for ((shard, since) in job.stale) {
                 if (left <= 0) return left
-                if (shard in job.dirtyPlans || nowMs - since < Tuning.DONE_BATCH_MS) continue
+                if (shard in job.dirtyPlans || nowMs - since < patienceMs) continue
                 writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
                 left--
             }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -78,6 +78,13 @@
     /** Share of the permitted writes that the leader's own progress may take; the rest is for accepts. */
     const val LEADER_WRITE_SHARE = 0.8
 
+    /** The same while changes of users wait at any controller, or the store refuses writes as too many. A leader that
+     *  went on as before would take every permit as it comes, and a batch of users' changes never find enough at once. */
+    const val LEADER_WRITE_SHARE_YIELDING = 0.4
+
+    /** Milliseconds for which the leader yields after it was last told of a reason to. */
+    const val YIELD_MS = 2_000L
+
     /** Bytes of a transaction; the protocol's bound is 64 KiB in total. */
     const val MAX_TXN_BYTES = 56 * 1024
 
@@ -107,6 +114,13 @@
     /** Milliseconds that a poll may wait for a check (its user waits 2 s). */
     const val POLL_PATIENCE_MS = 1_700L
 
+    /** Writes in one transaction of users' changes that is tried again after the store refused it as too many: the
+     *  permits for a large one may never be there at once. Doubles with each success. */
+    const val CHANGE_LEAST_OPS = 2
+
+    /** Share of the permitted writes that users' changes at one node may take. */
+    const val CHANGE_WRITE_SHARE = 0.5
+
     /** Transactions with changes of users that one node has under way at once. */
     const val CHANGE_LANES = 2
 
@@ -145,9 +159,29 @@
     /** Tasks placed in one round at most, so that one round's work and write stay bounded. */
     const val ROUND_TASKS = 400
 
-    /** Milliseconds that a done task may wait for other changes of its shard before it is written by itself. */
+    /** Milliseconds that a done task may wait for other changes of its shard before it is written by itself. The worker
+     *  keeps the result until then. */
     const val DONE_BATCH_MS = 3_000L
 
+    /** The same while writes are scarce: plans and accepts come first, and one write then tells of more tasks. */
+    const val DONE_BATCH_BUSY_MS = 9_000L
+
+    /** Share of a transaction's writes that must be free for writes not to count as scarce. */
+    const val PLENTY_SHARE = 0.6
+
+    /** Milliseconds after which a job that has not begun gets a few tasks before all others. Users expect even the largest
+     *  to begin within four minutes; much earlier costs nothing, since the few tasks are work that must be done anyway. */
+    const val BEGIN_MS = 90_000L
+
+    /** Part of a job's tasks, but at least one, that it then gets. */
+    const val BEGIN_SHARE = 0.02
+
+    /** Milliseconds after which a job counts as put off for long, and has a part in [OLD_SHARE]. */
+    const val OLD_MS = 240_000L
+
+    /** Share of the CPUs that such jobs have together, the most that is given away from jobs that can still meet an aim. */
+    const val OLD_SHARE = 0.05
+
     /** Milliseconds between looks at timers of the core: silence, leases, rentals. */
     const val TICK_MS = 250L
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -29,10 +29,16 @@
         if (waiting.isEmpty()) return 0
         val open = cluster.machines.values.filter { it.open(nowMs) }
         if (open.isEmpty()) return 0
-        val number = cluster.nextAttemptNumber()
+        val number = cluster.attemptNumber()
         val reserve = replicaReserve()
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
+        val turns = Turns(cluster, waiting, wallMs)
+        for ((job, tasks) in turns.first(urgency.arrayCapacity())) {
+            if (planned >= most) break
+            planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE)
+        }
+        val setAside = turns.setAside(open)
         val patient = ArrayList<Job>()
         val crowded = waiting.sumOf { it.waitingCount * it.spec.cpus } > open.sumOf { it.type.cpus } * Tuning.CROWDED_SHARE
         for (job in order) {
@@ -47,12 +53,12 @@
                 } else {
                     ANYWHERE
                 }
-            planned += place(job, open, number, reserve, nowMs, most - planned, worst)
+            planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, worst)
         }
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
-            if (job.waitingCount > 0 && !settling(job, nowMs)) planned += place(job, open, number, reserve, nowMs, most - planned, ANYWHERE)
+            if (job.waitingCount > 0 && !settling(job, nowMs)) planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE)
         }
         return planned
     }
@@ -106,7 +112,7 @@
         val zones = ZoneRule(job, open)
         val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
         val fitting = open.filter { fits(job, it, open.size) && zones.allows(it.zone) }
-        if (spec.shape == Shape.GANG && roomFor(spec, fitting) < job.waitingCount) return 0
+        if (spec.shape == Shape.GANG && fitting.sumOf { roomFor(spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } < job.waitingCount) return 0
         val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, keep), spec.gpus, spec.memoryGb) })
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
@@ -161,17 +167,6 @@
         keep: Double,
     ) = if (m.spot) 0.0 else keep
 
-    private fun roomFor(
-        spec: JobSpec,
-        machines: List<Machine>,
-    ): Int =
-        machines.sumOf { m ->
-            var n = Math.floor(m.freeMemoryGb / maxOf(spec.memoryGb, 1e-6))
-            if (spec.cpus > 0) n = minOf(n, Math.floor(m.freeCpus / spec.cpus + 1e-6))
-            if (spec.gpus > 0) n = minOf(n, Math.floor(m.freeGpus / spec.gpus + 1e-6))
-            maxOf(0.0, n).toInt().coerceAtMost(spec.tasks)
-        }
-
     private class Rank(
         val machine: Machine,
         val image: Int,
@@ -204,6 +199,7 @@
         m: Machine,
         nowMs: Long,
     ) {
+        cluster.attemptUsed(number)
         cluster.occupy(job, index, number, m, m.season)
         job.dirtyPlans.add(Shards.of(index))
         if (job.spec.shape == Shape.SERVICE) {
--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -62,8 +62,9 @@
     }
 
     /**
-     * Earliest aim first, but where not all can be met the largest are put off until the rest can (Moore and Hodgson's
-     * rule): first for the aims that come next, then for the later ones of those put off.
+     * Where not all can meet their aims the largest are put off until the rest can (Moore and Hodgson's rule): first for
+     * the aims that come next, then for the later ones of those put off. What can be met is served the least work first:
+     * with the earliest aim first every job would end just in time, and one wrong estimate make all after it late.
      */
     private fun byAims(
         jobs: List<Job>,
@@ -89,14 +90,15 @@
                     putOff.add(off)
                 }
             }
-            chosen.addAll(accepted.sortedWith(compareBy({ it.dues[level] }, { it.job.spec.id })).map { it.job })
+            chosen.addAll(accepted.sortedWith(LEAST_WORK).map { it.job })
             open = putOff + without
             level++
         }
-        return chosen + open.sortedWith(compareBy({ it.workS }, { it.job.spec.id })).map { it.job }
+        return chosen + open.sortedWith(LEAST_WORK).map { it.job }
     }
 
-    private fun arrayCapacity(): Double {
+    /** CPUs of the machines that report, less those of replicas. */
+    fun arrayCapacity(): Double {
         var cpus = 0.0
         for (m in cluster.machines.values) {
             if (m.state != MachineState.UP) continue
@@ -122,6 +124,8 @@
     }
 
     private companion object {
+        val LEAST_WORK = compareBy<Claim> { it.workS }.thenBy { it.job.spec.id }
+
         /** Milliseconds; jobs without an aim of their own are ordered as if they had this one. */
         const val DEFAULT_DUE_MS = 120_000.0
         const val EPSILON = 1e-6
--- a/src/main/kotlin/mintfield/io/loop/Pacer.kt
+++ b/src/main/kotlin/mintfield/io/loop/Pacer.kt
@@ -7,7 +7,7 @@
 /** Lets through [rate] permits a second with bursts of [burst]; the urgent go before the rest. */
 class Pacer(
     private val loop: EventLoop,
-    private val rate: Double,
+    rate: Double,
     private val burst: Double,
 ) {
     private class Waiter(
@@ -15,6 +15,12 @@
         val continuation: CancellableContinuation<Unit>,
     )
 
+    /** Permits a second from now on. */
+    var rate = rate
+        set(value) {
+            fill()
+            field = value
+        }
     private var tokens = burst
     private var filledAt = System.nanoTime()
     private val urgent = ArrayDeque<Waiter>()
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -28,6 +28,7 @@
     @ProtoNumber(3) val leading: Boolean,
     @ProtoNumber(4) val progress: List<JobProgress> = emptyList(),
     @ProtoNumber(5) val term: Long = 0,
+    @ProtoNumber(6) val crowded: Boolean = false,
 )
 
 /** A worker's report that came to a node which does not lead, and what the leader answers to it. */
@@ -69,6 +70,12 @@
 
         fun progressNote(): Map<String, Progress>
 
+        /** Whether changes of users wait here for the store. */
+        fun crowded(): Boolean
+
+        /** They do so at a sibling. */
+        fun siblingCrowded()
+
         /** A sibling leads with [term]. */
         fun siblingLeads(
             member: String,
@@ -120,6 +127,7 @@
             term > 0,
             progress.map { (id, p) -> JobProgress(id, p.done, p.running) },
             term,
+            owner.crowded(),
         )
     }
 
@@ -145,6 +153,7 @@
         }
         val note = decode(PeerNote.serializer(), request.body) ?: return Response.error(400, "not a note")
         heard[note.member] = Heard(note, loop.nowMs())
+        if (note.crowded) owner.siblingCrowded()
         if (note.leading) {
             jobs = note.progress.associate { it.id to Progress(it.done, it.running) }
             owner.siblingLeads(note.member, note.term)
