--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -2,6 +2,7 @@
 
 import com.google.common.cache.Cache
 import com.google.common.cache.CacheBuilder
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -34,6 +35,9 @@
     }
 
     val live = HashMap<String, AcceptedJob>()
+
+    /** Jobs whose record is there but cannot be read: known, and kept, but nothing can be done for them. */
+    val unreadable = HashSet<String>()
     private val finals: Cache<String, FinalState> =
         CacheBuilder
             .newBuilder()
@@ -73,7 +77,9 @@
                 val ok =
                     try {
                         check()
-                    } catch (e: IllegalStateException) {
+                    } catch (e: CancellationException) {
+                        throw e
+                    } catch (e: RuntimeException) {
                         Log.error("check of the jobs failed: ${e.message}")
                         false
                     }
@@ -116,7 +122,7 @@
             val page = (store.list(Keys.LIVE, after, Tuning.PAGE) as? StoreResult.Ok)?.value ?: return false
             if (first < 0) first = page.revision
             for (e in page.entries) {
-                val job = Records.parseLive(e.data, e.mark, fitsAnew) ?: continue
+                val job = read(e.key.removePrefix(Keys.LIVE), e.data, e.mark) ?: continue
                 found[job.spec.id] = job
             }
             if (!page.hasNext) break
@@ -128,6 +134,7 @@
         live.putAll(found)
         revision = first
         loaded = true
+        unreadable.removeAll(found.keys)
         gone.forEach { listener?.removed(it) }
         found.values.forEach { listener?.changed(it) }
         return true
@@ -159,11 +166,33 @@
     ) {
         if (data == null) {
             live.remove(id)
+            unreadable.remove(id)
             listener?.removed(id)
             return
         }
-        val job = Records.parseLive(data, mark, fitsAnew) ?: return Log.error("$id: its record cannot be read")
+        val job = read(id, data, mark) ?: return
         live[id] = job
         listener?.changed(job)
     }
+
+    /** One record that cannot be read must stop neither the others nor the answers about its own job. */
+    private fun read(
+        id: String,
+        data: Map<String, Any?>,
+        mark: Long,
+    ): AcceptedJob? {
+        val job =
+            try {
+                Records.parseLive(data, mark, fitsAnew)
+            } catch (e: RuntimeException) {
+                Log.debug("$id: $e")
+                null
+            }
+        if (job != null) {
+            unreadable.remove(id)
+        } else if (unreadable.add(id)) {
+            Log.error("$id: its record of revision $mark cannot be read; it is kept and called pending")
+        }
+        return job
+    }
 }
--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -1,5 +1,6 @@
 package mintfield.app
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -88,13 +89,31 @@
     }
 
     fun start() {
-        scope.launch { renew() }
-        scope.launch {
+        part("renewal") { renew() }
+        part("replay") {
             replay()
-            scope.launch { commitLoop() }
-            scope.launch { cloudLoop() }
-            scope.launch { tickLoop() }
-            scope.launch { view.follow() }
+            part("commits") { commitLoop() }
+            part("cloud") { cloudLoop() }
+            part("time") { tickLoop() }
+            part("view") { view.follow() }
+        }
+    }
+
+    /** A leader of which a part has failed would hold the lead and do only half of its work. */
+    private fun part(
+        name: String,
+        work: suspend () -> Unit,
+    ) {
+        scope.launch {
+            try {
+                work()
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: RuntimeException) {
+                Log.error("$name failed: $e at ${e.stackTrace.take(6)}")
+                delay(Tuning.STORE_RETRY_MS)
+                deposed("$name failed")
+            }
         }
     }
 
@@ -141,7 +160,15 @@
         intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(Keys.INTENTS), it.data)) }
         for (r in records) {
             val (job, shard) = Keys.parseShard(r.key) ?: continue
-            scheduler.replayShard(job, shard, Records.parseShard(r.data, shard), now)
+            val record =
+                try {
+                    Records.parseShard(r.data, shard)
+                } catch (e: RuntimeException) {
+                    Log.error("${r.key}: the record of revision ${r.mark} cannot be read: $e; it is kept, and the job waits")
+                    scheduler.replayUnreadable(job, shard)
+                    continue
+                }
+            scheduler.replayShard(job, shard, record, now)
         }
         hints?.let { scheduler.recall(it) }
         scheduler.replayDone(now)
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.launch
 import mintfield.core.ReportAnswer
 import mintfield.core.Tuning
+import mintfield.core.leadership.WorkerRounds
 import mintfield.core.model.Settings
 import mintfield.core.model.fittingTypes
 import mintfield.io.http.HttpMessage
@@ -34,7 +35,8 @@
     private val changes =
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
-    private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress)
+    private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, { peers.storeCut() })
+    private val rounds = WorkerRounds()
     private val reader = WorkerCodec.Reader()
     private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
 
@@ -43,10 +45,11 @@
         loop.post {
             HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
             HttpServer(loop, scope, group, PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
-            outside.store.onAnswer = peers::storeAnswered
+            outside.store.onContact = peers::storeContact
             changes.onCrowded = { member.leader?.giveWay() }
             scope.launch { member.run() }
             scope.launch { prepare() }
+            scope.launch { lookForStore() }
             peers.start()
             Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
         }
@@ -67,6 +70,14 @@
         while (!view.loaded) if (!view.current()) delay(Tuning.STORE_RETRY_MS)
     }
 
+    /** While the store cannot be reached users are refused without asking it; so something else must notice its return. */
+    private suspend fun lookForStore() {
+        while (true) {
+            delay(Tuning.STORE_RETRY_MS * 2)
+            if (peers.storeSilent()) view.current()
+        }
+    }
+
     private suspend fun client(request: HttpMessage): Response {
         val path = request.second
         return when {
@@ -104,18 +115,22 @@
         when {
             !view.loaded || outside.types.isEmpty() -> Response.error(503, "starting", Tuning.RETRY_AFTER_S)
             peers.aloneRefused() -> Response.error(503, "the state service refuses this node alone", Tuning.RETRY_AFTER_S)
+            peers.cutOff() -> Response.error(503, "cut off from the state service and the other controllers", Tuning.RETRY_AFTER_S)
             else -> Response(200, Json.obj { writeBooleanField("ready", true) })
         }
 
     private suspend fun checkin(request: HttpMessage): Response {
         val leader = member.leader ?: return elsewhere(request)
-        if (isolated(leader)) return Response(421, Json.obj { })
+        if (isolated(leader)) {
+            val report = reader.report(request.body) ?: return Response.error(400, "not a report")
+            if (rounds.sendOn(report.machine, loop.nowMs())) return Response(421, Json.obj { })
+        }
         return answer(leader, request.body)
     }
 
     /**
      * A leader past its lease goes on answering in an outage, so that the workers keep theirs. One that reaches neither
-     * the store nor a sibling is probably cut off alone; its workers had better look for another node.
+     * the store nor a sibling may be cut off alone: then its answers hold workers that a successor waits for.
      */
     private fun isolated(leader: Leader) = leader.leaseLeftMs() < -Tuning.ISOLATED_MS && peers.storeSilent() && !peers.heardAny()
 
@@ -126,7 +141,7 @@
         val report = reader.report(body) ?: return Response.error(400, "not a report")
         return when (val answer = leader.report(report)) {
             ReportAnswer.Deposed -> {
-                Log.info("${report.machine} has seen term ${report.termSeen}: a newer leader is about")
+                leader.resign("${report.machine} has seen term ${report.termSeen}")
                 Response(421, Json.obj { })
             }
 
@@ -147,7 +162,6 @@
 
     override fun relayed(body: ByteArray): Response {
         val leader = member.leader ?: return Response(503, Json.obj { })
-        if (isolated(leader)) return Response(503, Json.obj { })
         val report = reader.report(body) ?: return Response.error(400, "not a report")
         if (leader.comesDirectly(report.machine)) return Response(421, Json.obj { })
         return answer(leader, body)
--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -36,6 +36,8 @@
     private val changes: ChangeWriter,
     private val types: () -> Collection<MachineType>,
     private val progress: (String) -> Progress?,
+    /** Whether the store has not been reached for a while, so that asking it would only make the user wait. */
+    private val cutOff: () -> Boolean = { false },
 ) {
     private val submitting = HashMap<String, CompletableDeferred<Response>>()
 
@@ -72,6 +74,7 @@
         if (known.isEmpty()) return orKnown(spec.id) { busy("the machine types are not known yet") }
         val fits = fittingTypes(spec, known)
         impossible(spec, fits)?.let { reason -> return orKnown(spec.id) { Response.error(422, reason) } }
+        if (cutOff()) return busy("the state service cannot be reached from here")
         if (!changes.open) return busy("too many submissions are waiting")
         val job = AcceptedJob(spec, 0, System.currentTimeMillis(), withdrawn = false, fits = fits)
         val json = Records.live(job)
@@ -120,9 +123,10 @@
     /** Looks a job up, at the store's present. Null if the store cannot be asked. */
     private suspend fun find(id: String): Found? {
         view.final(id)?.let { return Found(id, it.stage, it.tasks, view.live[id]) }
-        if (!view.current()) return null
+        if (cutOff() || !view.current()) return null
         view.final(id)?.let { return Found(id, it.stage, it.tasks, view.live[id]) }
         view.live[id]?.let { return Found(id, if (it.withdrawn) Stage.WITHDRAWN else displayStage(id), progress(id)?.done ?: 0, it) }
+        if (id in view.unreadable) return Found(id, Stage.PENDING, 0, null)
         return when (val r = store.get(Keys.final(id))) {
             is StoreResult.Ok -> {
                 val final = r.value?.let { Records.parseFinal(it.data) }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -1,6 +1,7 @@
 package mintfield.core
 
 import mintfield.core.fleet.FleetManager
+import mintfield.core.fleet.HearingState
 import mintfield.core.fleet.ListedMachine
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
@@ -94,6 +95,16 @@
         }
     }
 
+    /** A record that cannot be read may plan anything anywhere: the job keeps what it has, and gets nothing new. */
+    fun replayUnreadable(
+        jobId: String,
+        shard: Int,
+    ) {
+        val job = cluster.jobs[jobId] ?: return
+        job.writtenShards.add(shard)
+        job.unreadable = true
+    }
+
     /** A machine that a plan names but nobody has described: its type is learned later, from its reports or the list. */
     private fun unknownMachine(
         id: String,
@@ -199,10 +210,16 @@
     ): List<DirectCall> {
         if (!loaded || most <= 0) return emptyList()
         val calls = ArrayList<DirectCall>()
+        var probes = 0
         for (m in cluster.machines.values) {
             if (calls.size >= most) break
             if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs) continue
             if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS || m.unansweredTerm >= cluster.term) continue
+            if (m.hearing.state == HearingState.DEAF) {
+                // Each may take its whole time-out; those that have something to start must not wait behind them.
+                if (++probes <= PROBES_AT_ONCE && most > Tuning.MAX_DIRECT_CALLS / 2) probe(m, nowMs)?.let { calls.add(it) }
+                continue
+            }
             if (m.count(AttemptState.PLANNED) == 0 || m.attempts.none { it.state == AttemptState.PLANNED && !it.job.withdrawn }) continue
             val address = m.address ?: continue
             val orders = reports.orders(m, checkin = false, nowMs)
@@ -213,6 +230,17 @@
         return calls
     }
 
+    /** A call without orders, to see whether a deaf machine hears again. As it starts nothing, it need not be fenced. */
+    private fun probe(
+        m: Machine,
+        nowMs: Long,
+    ): DirectCall? {
+        val address = m.address ?: return null
+        m.directInFlight = true
+        m.directPausedUntilMs = nowMs + Tuning.DEAF_PROBE_MS
+        return DirectCall(m.id, address, cluster.term, m.season, emptyList())
+    }
+
     fun directAnswered(
         call: DirectCall,
         report: Report?,
@@ -230,6 +258,7 @@
     ) {
         val m = cluster.machines[call.machine] ?: return
         m.directInFlight = false
+        if (call.orders.isEmpty()) return
         m.directPausedUntilMs = nowMs + Tuning.DIRECT_PAUSE_MS
         // The call may be carried out minutes later: until the worker has seen a higher term, absence proves nothing.
         if (sent) m.unansweredTerm = maxOf(m.unansweredTerm, call.term)
@@ -269,7 +298,7 @@
         for (job in cluster.jobs.values) {
             if (left <= 0) break
             val cost = 2 + job.writtenShards.size
-            if (job.allDone && !job.finishing && !job.withdrawn && job.activeAttempts.isEmpty()) {
+            if (job.allDone && !job.unreadable && !job.finishing && !job.withdrawn && job.activeAttempts.isEmpty()) {
                 if (left < minOf(cost, 2) && writes.isNotEmpty()) continue
                 writes.add(Write.Finish(job))
                 left -= 2
@@ -277,7 +306,7 @@
         }
         val plans =
             cluster.jobs.values
-                .filter { it.dirtyPlans.isNotEmpty() && !it.withdrawn && !it.allDone }
+                .filter { it.dirtyPlans.isNotEmpty() && !it.withdrawn && !it.allDone && !it.unreadable }
                 .sortedBy { it.spec.priority }
         for (job in plans) {
             for (shard in job.dirtyPlans) {
@@ -323,7 +352,7 @@
                 }
                 continue
             }
-            if (job.allDone) continue
+            if (job.allDone || job.unreadable) continue
             for ((shard, since) in job.stale) {
                 if (left <= 0) return left
                 if (shard in job.dirtyPlans || nowMs - since < patienceMs) continue
@@ -466,6 +495,9 @@
     }
 
     private companion object {
+        /** Deaf machines that are asked in one go. */
+        const val PROBES_AT_ONCE = 2
+
         /** Writes of a transaction that are kept from sweeping, as something urgent may come at any moment. */
         const val SWEEP_RESERVE = 6
     }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -147,6 +147,28 @@
     /** Machines whose last list of tasks is remembered, so that the same one need not be read again. */
     const val REMEMBERED_REPORTS = 1_000
 
+    /** Answers in a row that a machine must have missed to count as deaf; a single one gets lost now and then. */
+    const val DEAF_ANSWERS = 2
+
+    /** Milliseconds between calls that ask a deaf machine whether it hears again. */
+    const val DEAF_PROBE_MS = 4_000L
+
+    /** Milliseconds without new tasks after a machine hears again, doubled with each time that it was deaf. */
+    const val DEAF_PAUSE_MS = 2_000L
+
+    /** Times that this pause is doubled at the most. */
+    const val DEAF_DOUBLINGS = 5
+
+    /** Milliseconds after which a deaf machine is returned: cuts mostly last for less, a new machine boots in about that. */
+    const val DEAF_RETURN_MS = 45_000L
+
+    /** Deaf machines up to which, in number or as a share of all, the machines are blamed and not the network. */
+    const val DEAF_FEW = 2
+    const val DEAF_SHARE = 0.05
+
+    /** Share of `cancel_s` after which a machine where a withdrawn task does not stop is returned, as the last proof. */
+    const val CANCEL_SHARE = 0.5
+
     // --- Placement ---
 
     /** Milliseconds between rounds; a write under way widens them further. */
@@ -291,6 +313,10 @@
     /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
     const val ISOLATED_MS = 2_000L
 
+    /** Milliseconds between two times that such a leader sends the same worker away: a round of the controllers takes three
+     *  to six seconds of its ten seconds' lease, and what it learns holds for a while. */
+    const val SEND_ON_MS = 20_000L
+
     /** Milliseconds for which a sibling's note counts. */
     const val PEER_FRESH_MS = 3_500L
 
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -67,6 +67,7 @@
         val m = Machine(id, type, zone, spot)
         m.firstSeenAtMs = nowMs
         m.unansweredTerm = cluster.firstTerm - 1
+        m.neededTerm = cluster.firstTerm
         cluster.machines[id] = m
         return m
     }
@@ -215,7 +216,11 @@
             byZone.merge(m.zone, 1, Int::plus)
             if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) silentByZone.merge(m.zone, 1, Int::plus)
         }
+        val deaf = cluster.machines.values.count { it.state == MachineState.UP && it.hearing.state == HearingState.DEAF }
+        // Many at once speak of the network, not of the machines.
+        val returnDeaf = deaf <= maxOf(Tuning.DEAF_FEW, (cluster.machines.size * Tuning.DEAF_SHARE).toInt())
         for (m in cluster.machines.values.toList()) {
+            if (m.state == MachineState.UP) unheard(m, returnDeaf, nowMs)
             when (m.state) {
                 MachineState.AWAITED -> awaited(m, nowMs, (silentByZone[m.zone] ?: 0) > Tuning.SILENT_ZONE_SHARE * (byZone[m.zone] ?: 1))
                 MachineState.UP -> if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) m.moveTo(MachineState.SILENT, nowMs)
@@ -230,6 +235,23 @@
         }
     }
 
+    /** A machine that reports but does not hear is returned if that lasts, or if it holds what must not run any more. */
+    private fun unheard(
+        m: Machine,
+        returnDeaf: Boolean,
+        nowMs: Long,
+    ) {
+        if (!returnDeaf) return
+        if (m.hearing.state == HearingState.DEAF && nowMs - m.hearing.sinceMs > Tuning.DEAF_RETURN_MS) {
+            return condemn(m, nowMs, "it has not heard us for ${(nowMs - m.hearing.sinceMs) / 1000} s")
+        }
+        if (m.count(AttemptState.STOPPING) == 0) return
+        val limit = cluster.settings.cancelS * 1000 * Tuning.CANCEL_SHARE
+        m.attempts.firstOrNull { it.state == AttemptState.STOPPING && it.job.withdrawn && nowMs - it.changedAtMs > limit }?.let {
+            condemn(m, nowMs, "${it.job.spec.id}/${it.index} is withdrawn and does not stop there")
+        }
+    }
+
     private fun awaited(
         m: Machine,
         nowMs: Long,
@@ -294,7 +316,7 @@
         var spot = 0.0
         for (m in cluster.machines.values) {
             if (m.state == MachineState.CONDEMNED || m.state == MachineState.RETURNING || m.takenAtMs != null) continue
-            if (m.state == MachineState.SILENT) continue
+            if (m.state == MachineState.SILENT || m.hearing.state == HearingState.DEAF) continue
             if (m.spot) spot += m.type.cpus else ordinary += m.type.cpus
         }
         val ordinaryShort = services * cluster.settings.operator.headroom - ordinary
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -47,6 +47,15 @@
     /** When a report of it was last answered, as counted by a renewal that may have reached it. */
     var answeredAtMs = NEVER
 
+    /** Whether our answers and commands reach it. */
+    val hearing = Hearing()
+
+    /**
+     * Lowest term that its worker must have seen for tasks to be planned here. A new leader cannot tell a late copy of an
+     * old report from a new one, and the machine that sent it may be long gone; what has seen our term lives in our tenure.
+     */
+    var neededTerm = 0L
+
     /** Known only by name, from a plan: type, zone and kind are guesses until a report or the list tells them. */
     var guessed = false
     var firstSeenAtMs = 0L
@@ -189,6 +198,8 @@
     fun open(nowMs: Long): Boolean =
         state == MachineState.UP &&
             takenAtMs == null &&
+            termSeen >= neededTerm &&
+            hearing.sure &&
             nowMs >= avoidUntilMs &&
             nowMs - heardAtMs < Tuning.FRESH_REPORT_MS
 
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -124,6 +124,9 @@
     var notBeforeMs = 0L
     var finishing = false
 
+    /** One of its records could not be read; it is kept as it is. */
+    var unreadable = false
+
     val shardCount: Int get() = (spec.tasks + Shards.TASKS - 1) / Shards.TASKS
 
     fun attempt(index: Int): Attempt? = attempts[index]
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -2,6 +2,7 @@
 
 import mintfield.core.Cluster
 import mintfield.core.Tuning
+import mintfield.core.fleet.HearingState
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
 import mintfield.core.model.EndCause
@@ -28,6 +29,12 @@
         nowMs: Long,
     ): Boolean {
         if (report.season < m.season || (report.season == m.season && report.tally <= m.tally)) return false
+        if (checkin) {
+            val leaseMs = (cluster.settings.leaseS * 1000).toLong()
+            if (m.hearing.checkin(m, report, leaseMs, nowMs)) hearingChanged(m, nowMs)
+        } else if (m.hearing.heard(nowMs)) {
+            hearingChanged(m, nowMs)
+        }
         if (report.season > m.season) newSeason(m, report, nowMs)
         m.tally = report.tally
         m.termSeen = maxOf(m.termSeen, report.termSeen)
@@ -52,6 +59,19 @@
         return true
     }
 
+    private fun hearingChanged(
+        m: Machine,
+        nowMs: Long,
+    ) {
+        val h = m.hearing
+        if (h.state == HearingState.DEAF) log("${m.id} reports but does not hear us: no new tasks there")
+        if (h.state == HearingState.HEARS && h.times > 0) {
+            val pause = Tuning.DEAF_PAUSE_MS shl minOf(h.times, Tuning.DEAF_DOUBLINGS)
+            m.avoidUntilMs = maxOf(m.avoidUntilMs, nowMs + pause)
+            log("${m.id} hears us again, new tasks in $pause ms")
+        }
+    }
+
     /** Whether no earlier start can be carried out any more after what [report] shows. */
     private fun trusted(
         m: Machine,
@@ -193,7 +213,10 @@
         nowMs: Long,
     ): List<Order> {
         val report = m.lastReport ?: return emptyList()
-        if (m.quiet) return emptyList()
+        if (m.quiet) {
+            if (checkin) m.hearing.told(cluster.term, emptyList())
+            return emptyList()
+        }
         val halts = ArrayList<Order>()
         val clears = ArrayList<Order>()
         val seen = HashSet<TaskId>(report.tasks.size * 2)
@@ -215,15 +238,18 @@
             }
         }
         val runs = ArrayList<Order>()
+        val started = ArrayList<Attempt>()
         for (a in m.attempts) {
             val id = cluster.taskId(a)
             if (id in seen || a.job.withdrawn || a.season != m.season) continue
             val due = a.state == AttemptState.PLANNED || (checkin && a.state == AttemptState.STARTING)
             if (!due) continue
             runs.add(Order.Run(id, a.number))
+            started.add(a)
             a.everSent = true
             if (a.state == AttemptState.PLANNED) a.moveTo(AttemptState.STARTING, nowMs)
         }
+        if (checkin) m.hearing.told(cluster.term, started)
         if (halts.isEmpty() && clears.isEmpty() && runs.isEmpty()) {
             m.quiet = seen.size == m.attempts.size && seen.size == report.tasks.size && report.tasks.none { it.state == ReportedState.ENDED }
             return emptyList()
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -25,7 +25,7 @@
         wallMs: Long,
         most: Int,
     ): Int {
-        val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
+        val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
         if (waiting.isEmpty()) return 0
         val open = cluster.machines.values.filter { it.open(nowMs) }
         if (open.isEmpty()) return 0
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -18,6 +18,7 @@
 import mintfield.io.http.Reply
 import mintfield.io.http.Response
 import mintfield.io.loop.EventLoop
+import mintfield.io.store.StoreClient
 
 /** What controllers tell each other each second. It informs; no decision that the rules depend on rests on it. */
 @OptIn(ExperimentalSerializationApi::class)
@@ -93,7 +94,7 @@
 
     private val heard = HashMap<String, Heard>()
     private var jobs: Map<String, Progress> = emptyMap()
-    private var servedAtMs = 0L
+    private var silentSinceMs: Long? = null
     private var refusedSinceMs: Long? = null
 
     private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = 2) }
@@ -179,15 +180,18 @@
 
     fun progress(id: String): Progress? = jobs[id]
 
-    fun storeAnswered(served: Boolean) {
-        if (served) {
-            servedAtMs = loop.nowMs()
-            refusedSinceMs = null
-        } else if (refusedSinceMs == null) {
-            refusedSinceMs = loop.nowMs()
-        }
+    fun storeContact(contact: StoreClient.Contact) {
+        val now = loop.nowMs()
+        if (contact == StoreClient.Contact.SERVED) refusedSinceMs = null else refusedSinceMs = refusedSinceMs ?: now
+        if (contact == StoreClient.Contact.SILENT) silentSinceMs = silentSinceMs ?: now else silentSinceMs = null
     }
 
+    /** Whether nothing at all has come from the store for a while: unlike an outage, in which it refuses, this is a cut. */
+    fun storeCut(): Boolean = silentSinceMs?.let { loop.nowMs() - it > Tuning.ALONE_REFUSED_MS } ?: false
+
+    /** Cut off from the store, and no sibling to be heard: whoever comes here had better go elsewhere. */
+    fun cutOff(): Boolean = storeCut() && !heardAny()
+
     /** Whether the store has refused this node for a while although it serves a sibling. */
     fun aloneRefused(): Boolean {
         val since = refusedSinceMs ?: return false
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -78,13 +78,18 @@
         data: Map<String, Any?>,
         shard: Int,
     ): ShardRecord {
+        // A record read in part would be a plan forgotten, and its tasks started twice: all of it, or an error.
         val plans =
-            data["plan"].asList().orEmpty().mapNotNull { item ->
-                val g = item.asList()?.takeIf { it.size == 4 } ?: return@mapNotNull null
-                val indices = Shards.parseRanges(g[3] as? String ?: "", shard * Shards.TASKS)
-                PlannedGroup(g[0] as? String ?: return@mapNotNull null, Json.asLong(g[1]) ?: 0, Json.asLong(g[2]) ?: 0, indices)
+            requireNotNull(data["plan"].asList()) { "no plan" }.map { item ->
+                val g = requireNotNull(item.asList()?.takeIf { it.size == 4 }) { "a group of ${item.asList()?.size} fields" }
+                PlannedGroup(
+                    requireNotNull(g[0] as? String) { "no machine" },
+                    requireNotNull(Json.asLong(g[1])) { "no season" },
+                    requireNotNull(Json.asLong(g[2])) { "no attempt" },
+                    Shards.parseRanges(requireNotNull(g[3] as? String) { "no tasks" }, shard * Shards.TASKS),
+                )
             }
-        return ShardRecord(plans, Shards.decodeBits(data.string("done") ?: ""))
+        return ShardRecord(plans, Shards.decodeBits(requireNotNull(data.string("done")) { "no done-set" }))
     }
 
     /** Cut to what [maxBytes] allows: the machines that come last are left out. */
--- a/src/main/kotlin/mintfield/io/store/StoreClient.kt
+++ b/src/main/kotlin/mintfield/io/store/StoreClient.kt
@@ -93,8 +93,11 @@
     private val watches: HttpClient,
     private val requests: Pacer,
 ) {
-    /** Steady milliseconds of the last answer that showed the service at work, and of the last refusal. */
-    var onAnswer: (served: Boolean) -> Unit = {}
+    /** What became of a call: the service did its work, refused it, or gave no answer at all. */
+    enum class Contact { SERVED, REFUSED, SILENT }
+
+    /** Told of each. */
+    var onContact: (Contact) -> Unit = {}
 
     private suspend fun ask(
         method: String,
@@ -107,12 +110,12 @@
         requests.acquire(1.0, urgent)
         return when (val reply = client.call(method, path, body, timeoutMs)) {
             is Reply.Answer -> {
-                onAnswer(reply.status < 500)
+                onContact(if (reply.status < 500) Contact.SERVED else Contact.REFUSED)
                 if (reply.status == 429 || reply.status >= 500) StoreResult.Refused(reply.status) else StoreResult.Ok(reply)
             }
 
             is Reply.None -> {
-                onAnswer(false)
+                onContact(Contact.SILENT)
                 if (reply.sent) StoreResult.Unknown(reply.why) else StoreResult.Refused(0)
             }
         }
