--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -150,6 +150,7 @@
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         val intents = readAll(Keys.INTENTS)
         val records = readAll(Keys.RECORDS)
+        val rounds = readAll(Keys.ROUNDS).sortedBy { it.mark }
         readMachines()
         val hints = (store.get(Keys.HINTS, urgent = true) as? StoreResult.Ok)?.value?.let { Records.parseHints(it.data) }
         // Abort and accept of other nodes may have come meanwhile; from here on the listener tells them.
@@ -168,12 +169,20 @@
                     scheduler.replayUnreadable(job, shard)
                     continue
                 }
-            scheduler.replayShard(job, shard, record, now)
+            scheduler.replayShard(job, shard, record, now, r.mark)
+        }
+        for (r in rounds) {
+            val record =
+                Records.parseRound(r.data) { job ->
+                    Log.error("${r.key}: what the round of revision ${r.mark} says of ${job ?: "some job"} cannot be read; it is kept")
+                    if (job == null) scheduler.replayUnreadableRound(now) else scheduler.replayUnreadableJob(job)
+                }
+            scheduler.replayRound(r.key.removePrefix(Keys.ROUNDS), record, r.mark, now)
         }
         hints?.let { scheduler.recall(it) }
         scheduler.replayDone(now)
         Log.info(
-            "replayed ${view.live.size} jobs, ${records.size} records, ${intents.size} intents, " +
+            "replayed ${view.live.size} jobs, ${records.size} records, ${rounds.size} rounds, ${intents.size} intents, " +
                 "${scheduler.cluster.machines.size} machines in ${loop.nowMs() - startMs} ms",
         )
     }
@@ -244,6 +253,7 @@
             bytes += size
             taken.add(w)
         }
+        scheduler.untaken(wanted.writes.drop(taken.size), loop.nowMs())
         val commit = Commit(wanted.term, taken)
         writes.take(puts.size.toDouble())
         val sentAt = loop.nowMs()
@@ -298,6 +308,7 @@
 
     private fun guardsOf(w: Write): List<Guard> =
         when (w) {
+            is Write.Round -> w.jobs.map { Guard(Keys.live(it.spec.id), it.mark) }
             is Write.Progress -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
             is Write.Finish -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
             is Write.Sweep -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
@@ -306,6 +317,8 @@
 
     private fun keyWrites(w: Write): List<KeyWrite> =
         when (w) {
+            is Write.Round -> listOf(KeyWrite.Put(Keys.round(w.key), Records.round(w.record)))
+            is Write.SweepRound -> listOf(KeyWrite.Delete(Keys.round(w.key)))
             is Write.Progress -> listOf(KeyWrite.Put(Keys.shard(w.job.spec.id, w.shard), Records.shard(w.record, w.shard)))
             is Write.Finish ->
                 listOf(
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -5,7 +5,6 @@
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.RunTimes
-import mintfield.core.jobs.Shards
 import mintfield.core.model.JobSpec
 import mintfield.core.model.MachineType
 import mintfield.core.model.Settings
@@ -35,6 +34,9 @@
     /** When this leader's replay ended. */
     var replayedAtMs = 0L
 
+    /** Until when nothing is planned, since a record could not be read. */
+    var holdUntilMs = 0L
+
     /** Set when something waits for workers to see a higher term. */
     var raiseWanted = false
 
@@ -98,7 +100,7 @@
         used.cpus = maxOf(0.0, used.cpus - a.job.spec.cpus)
         used.gpus = maxOf(0.0, used.gpus - a.job.spec.gpus)
         // The record still names the old place. Left so, a successor would wait for proof from a machine long gone.
-        a.job.stale.putIfAbsent(Shards.of(a.index), nowMs)
+        if (a.job.staleSinceMs == 0L) a.job.staleSinceMs = nowMs
         if (proof != DONE && proof != DESCRIBED_ANEW) log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
     }
 
@@ -120,7 +122,7 @@
         nowMs: Long,
     ) {
         if (!job.setDone(index)) return
-        job.stale.putIfAbsent(Shards.of(index), nowMs)
+        if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
     }
 
     fun taskId(a: Attempt) = TaskId(a.job.spec.id, a.index)
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -1,12 +1,25 @@
 package mintfield.core
 
 import mintfield.core.jobs.Job
+import mintfield.core.jobs.RoundRecord
 import mintfield.core.jobs.ShardRecord
 import mintfield.core.model.Order
 
 /** One change that the leader wants in the store. */
 sealed interface Write {
-    /** Progress of a job in one shard. */
+    /** What one round decided and what was reported since the last one, of all [jobs] that it touches. */
+    data class Round(
+        val key: String,
+        val record: RoundRecord,
+        val jobs: List<Job>,
+    ) : Write
+
+    /** A round record that tells nothing any more. */
+    data class SweepRound(
+        val key: String,
+    ) : Write
+
+    /** Progress of a job in one shard, in full: replaces what round records tell of it. */
     data class Progress(
         val job: Job,
         val shard: Int,
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -7,7 +7,11 @@
 import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
+import mintfield.core.jobs.KeptRound
+import mintfield.core.jobs.PlannedGroup
 import mintfield.core.jobs.ReportHandler
+import mintfield.core.jobs.RoundRecord
+import mintfield.core.jobs.Rounds
 import mintfield.core.jobs.ShardRecord
 import mintfield.core.jobs.Shards
 import mintfield.core.model.AcceptedJob
@@ -44,7 +48,12 @@
     val fleet = FleetManager(cluster, log)
 
     /** Records whose job has ended; they go when there is room, and a successor finds what is left of them. */
-    private val leftOver = LinkedHashSet<Write.SweepRecord>()
+    private val leftOver = LinkedHashSet<Write>()
+
+    /** Round records in the store, the oldest first. */
+    private val rounds = LinkedHashMap<String, KeptRound>()
+    private val shardMarks = HashMap<Pair<String, Int>, Long>()
+    private var roundNumber = 0L
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
@@ -71,6 +80,7 @@
         shard: Int,
         record: ShardRecord,
         nowMs: Long,
+        mark: Long = 0,
     ) {
         val job = cluster.jobs[jobId]
         if (job == null) {
@@ -79,22 +89,85 @@
         }
         val from = shard * Shards.TASKS
         job.writtenShards.add(shard)
-        record.done.stream().forEach {
-            job.setDone(from + it)
-            job.doneWritten.set(from + it)
+        shardMarks[jobId to shard] = mark
+        record.done.stream().forEach { replayDone(job, from + it, nowMs) }
+        record.plans.forEach { replayPlan(job, it, nowMs) }
+    }
+
+    /**
+     * Takes a round record, after the jobs' own records and in order of their revisions. What a job's own record is newer
+     * than is left out; of the rest the later tells the truth, as it was written with proof.
+     */
+    fun replayRound(
+        key: String,
+        record: RoundRecord,
+        mark: Long,
+        nowMs: Long,
+    ) {
+        val kept = KeptRound(key, mark, nowMs)
+        for (part in record.parts) {
+            val job = cluster.jobs[part.job] ?: continue
+            if ((shardMarks[part.job to part.shard] ?: 0) > mark) continue
+            part.freed.forEach { i -> job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) } }
+            part.plans.forEach { replayPlan(job, it, nowMs) }
+            part.done.forEach { replayDone(job, it, nowMs) }
+            need(kept, job, part.shard)
         }
-        for (g in record.plans) {
-            val m = cluster.machines[g.machine] ?: unknownMachine(g.machine, job, nowMs) ?: continue
-            for (i in g.indices) {
-                if (i >= job.spec.tasks || job.done.get(i)) continue
-                if (g.season < m.season) continue
-                val a = cluster.occupy(job, i, g.attempt, m, g.season)
-                a.everSent = true
-                a.moveTo(AttemptState.PLANNED, nowMs)
-            }
+        if (kept.needed.isEmpty()) leftOver.add(Write.SweepRound(key)) else rounds[key] = kept
+    }
+
+    private fun replayDone(
+        job: Job,
+        index: Int,
+        nowMs: Long,
+    ) {
+        if (index >= job.spec.tasks) return
+        job.attempt(index)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) }
+        job.setDone(index)
+        job.doneWritten.set(index)
+    }
+
+    private fun replayPlan(
+        job: Job,
+        g: PlannedGroup,
+        nowMs: Long,
+    ) {
+        val m = cluster.machines[g.machine] ?: unknownMachine(g.machine, job, nowMs) ?: return
+        for (i in g.indices) {
+            if (i >= job.spec.tasks || job.done.get(i)) continue
+            job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) }
+            if (g.season < m.season) continue
+            val a = cluster.occupy(job, i, g.attempt, m, g.season)
+            a.everSent = true
+            a.moveTo(AttemptState.PLANNED, nowMs)
         }
     }
 
+    private fun need(
+        kept: KeptRound,
+        job: Job,
+        shard: Int,
+    ) {
+        kept.needed.add(job.id to shard)
+        job.told.getOrPut(shard) { HashSet() }.add(kept)
+    }
+
+    /** What rounds before [mark] told of the shard is not needed any more; a round of which nothing is needed goes. */
+    private fun unneeded(
+        job: Job,
+        shard: Int,
+        mark: Long,
+    ) {
+        val kept = job.told[shard] ?: return
+        kept.removeAll { round ->
+            if (round.mark >= mark) return@removeAll false
+            round.needed.remove(job.id to shard)
+            if (round.needed.isEmpty() && rounds.remove(round.key) != null) leftOver.add(Write.SweepRound(round.key))
+            true
+        }
+        if (kept.isEmpty()) job.told.remove(shard)
+    }
+
     /** A record that cannot be read may plan anything anywhere: the job keeps what it has, and gets nothing new. */
     fun replayUnreadable(
         jobId: String,
@@ -105,6 +178,19 @@
         job.unreadable = true
     }
 
+    /**
+     * A round record of which not even the jobs can be told. What it planned is at work unknown to us, until its workers
+     * have reported or lost their leases; nothing is planned before.
+     */
+    fun replayUnreadableRound(nowMs: Long) {
+        val leaseMs = (cluster.settings.leaseS * 1000 * (1 + Tuning.CLOCK_DRIFT)).toLong()
+        cluster.holdUntilMs = nowMs + leaseMs + Tuning.SILENT_RETURN_MS / 2
+    }
+
+    fun replayUnreadableJob(jobId: String) {
+        cluster.jobs[jobId]?.unreadable = true
+    }
+
     /** A machine that a plan names but nobody has described: its type is learned later, from its reports or the list. */
     private fun unknownMachine(
         id: String,
@@ -138,6 +224,12 @@
     fun replayDone(nowMs: Long) {
         loaded = true
         cluster.replayedAtMs = nowMs
+        shardMarks.clear()
+        // What was replayed is written already.
+        for (job in cluster.jobs.values) {
+            job.changed.clear()
+            job.staleSinceMs = 0
+        }
         for (job in cluster.jobs.values) if (job.withdrawn) job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn") }
     }
 
@@ -168,6 +260,7 @@
         nowMs: Long,
     ) {
         val job = cluster.jobs.remove(id) ?: return
+        job.told.keys.toList().forEach { unneeded(job, it, Long.MAX_VALUE) }
         for (a in job.activeAttempts.toList()) {
             cluster.stop(a, nowMs, "job ended")
             if (a.live) cluster.release(a, nowMs, "job ended")
@@ -289,7 +382,8 @@
             return Commit(cluster.term, listOf(Write.RaiseTerm))
         }
         val urgent = cluster.jobs.values.any { it.spec.shape == Shape.SERVICE && !it.withdrawn && it.waitingCount > 0 }
-        if (nowMs - lastRoundMs >= if (urgent) Tuning.ROUND_MS else Tuning.ARRAY_ROUND_MS) {
+        val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
+        if (nowMs - lastRoundMs >= if (urgent) Tuning.ROUND_MS else if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
             lastRoundMs = nowMs
             round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
         }
@@ -297,24 +391,13 @@
         var left = ops
         for (job in cluster.jobs.values) {
             if (left <= 0) break
-            val cost = 2 + job.writtenShards.size
             if (job.allDone && !job.unreadable && !job.finishing && !job.withdrawn && job.activeAttempts.isEmpty()) {
-                if (left < minOf(cost, 2) && writes.isNotEmpty()) continue
+                if (left < 2 && writes.isNotEmpty()) continue
                 writes.add(Write.Finish(job))
                 left -= 2
             }
         }
-        val plans =
-            cluster.jobs.values
-                .filter { it.dirtyPlans.isNotEmpty() && !it.withdrawn && !it.allDone && !it.unreadable }
-                .sortedBy { it.spec.priority }
-        for (job in plans) {
-            for (shard in job.dirtyPlans) {
-                if (left <= 0) break
-                writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
-                left--
-            }
-        }
+        left -= addRounds(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
         if (left > 0 && fleet.wishes.isNotEmpty()) {
             writes.add(Write.Intend(fleet.wishes.first()))
             left--
@@ -325,8 +408,7 @@
             writes.add(Write.DropIntent(plea))
             left--
         }
-        val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
-        left = addDone(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
+        left = addRecords(writes, left, nowMs)
         if (left > 0 && nowMs - lastHintsMs >= Tuning.HINTS_MS) {
             lastHintsMs = nowMs
             writes.add(Write.Remember(hints()))
@@ -336,30 +418,56 @@
         return if (writes.isEmpty()) null else Commit(cluster.term, writes)
     }
 
-    private fun addDone(
+    /**
+     * What was planned, with all that was reported since the last round; without plans, once something has waited for
+     * [patienceMs]. Returns how many writes that takes.
+     */
+    private fun addRounds(
         writes: MutableList<Write>,
         room: Int,
         patienceMs: Long,
         nowMs: Long,
+    ): Int {
+        if (room <= 0) return 0
+        val open = cluster.jobs.values.filter { !it.changed.isEmpty && !it.withdrawn && !it.finishing && !it.unreadable && !it.allDone }
+        val due = open.any { it.planning || (it.staleSinceMs > 0 && nowMs - it.staleSinceMs >= patienceMs) }
+        if (!due) return 0
+        val order = open.sortedWith(compareBy<Job>({ if (it.planning) 0 else 1 }, { it.spec.priority }).thenBy { it.staleSinceMs })
+        val maxBytes = (cluster.settings.valueKb * KB * Tuning.VALUE_FILL).toInt()
+        val most = minOf(room, MAX_ROUND_VALUES)
+        val records = Rounds.take(order, maxBytes, most, cluster.settings.txnOps * Tuning.GUARDS_PER_WRITE - GUARDS_KEPT)
+        for (record in records) {
+            val jobs = record.parts.mapTo(LinkedHashSet()) { it.job }.map { cluster.jobs.getValue(it) }
+            writes.add(Write.Round("${cluster.firstTerm}-${++roundNumber}", record, jobs))
+        }
+        for (job in order) if (job.changed.isEmpty) job.staleSinceMs = 0
+        return records.size
+    }
+
+    /** Records of what has ended go; jobs that outlive their rounds get records of their own. Returns what room is left. */
+    private fun addRecords(
+        writes: MutableList<Write>,
+        room: Int,
+        nowMs: Long,
     ): Int {
         var left = room
         for (job in cluster.jobs.values) {
             if (left <= 0) return left
-            if (job.withdrawn) {
-                if (job.activeAttempts.isEmpty() && !job.finishing) {
-                    writes.add(Write.Sweep(job))
-                    left -= 1 + job.writtenShards.size
-                }
-                continue
-            }
-            if (job.allDone || job.unreadable) continue
-            for ((shard, since) in job.stale) {
-                if (left <= 0) return left
-                if (shard in job.dirtyPlans || nowMs - since < patienceMs) continue
-                writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
+            if (job.withdrawn && job.activeAttempts.isEmpty() && !job.finishing) {
+                writes.add(Write.Sweep(job))
                 left--
             }
         }
+        val oldest = rounds.values.firstOrNull()?.takeIf { nowMs - it.writtenAtMs > Tuning.ROUND_KEEP_MS } ?: return left
+        for ((id, shard) in oldest.needed) {
+            if (left <= SWEEP_RESERVE) return left
+            val job = cluster.jobs[id] ?: continue
+            if (job.withdrawn || job.finishing || job.unreadable) continue
+            // It calls written what it holds: so all that changed must be in the rounds of this same transaction.
+            if (Shards.of(job.changed.nextSetBit(shard * Shards.TASKS)) == shard) continue
+            writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
+            left--
+        }
         return left
     }
 
@@ -370,9 +478,37 @@
     ) {
         when (result) {
             is CommitResult.Done -> commit.writes.forEach { written(it, result.revision, nowMs) }
-            is CommitResult.Conflict -> result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, nowMs) } }
-            CommitResult.Refused -> {}
-            CommitResult.Unknown -> raiseNow = true
+            is CommitResult.Conflict -> {
+                putBack(commit.writes, nowMs)
+                result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, nowMs) } }
+            }
+            CommitResult.Refused -> putBack(commit.writes, nowMs)
+            CommitResult.Unknown -> {
+                putBack(commit.writes, nowMs)
+                // It may be there all the same; its key must go in the end, whether or not it is.
+                commit.writes.forEach { if (it is Write.Round) leftOver.add(Write.SweepRound(it.key)) }
+                raiseNow = true
+            }
+        }
+    }
+
+    /** Writes that found no room in their transaction. */
+    fun untaken(
+        writes: List<Write>,
+        nowMs: Long,
+    ) = putBack(writes, nowMs)
+
+    private fun putBack(
+        writes: List<Write>,
+        nowMs: Long,
+    ) {
+        for (w in writes) {
+            if (w !is Write.Round) continue
+            for (part in w.record.parts) {
+                val job = cluster.jobs[part.job] ?: continue
+                Rounds.putBack(job, part)
+                if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
+            }
         }
     }
 
@@ -391,7 +527,16 @@
         nowMs: Long,
     ) {
         when (write) {
-            is Write.Progress -> progressWritten(write, nowMs)
+            is Write.Round -> roundWritten(write, revision, nowMs)
+            is Write.SweepRound -> leftOver.remove(write)
+            is Write.Progress -> {
+                write.job.writtenShards.add(write.shard)
+                val from = write.shard * Shards.TASKS
+                write.record.done
+                    .stream()
+                    .forEach { write.job.doneWritten.set(from + it) }
+                unneeded(write.job, write.shard, revision)
+            }
             is Write.Finish -> {
                 write.job.finishing = true
                 log("${write.job.spec.id} is done")
@@ -432,31 +577,24 @@
         jobRemoved(job.spec.id, nowMs)
     }
 
-    private fun progressWritten(
-        write: Write.Progress,
+    private fun roundWritten(
+        write: Write.Round,
+        revision: Long,
         nowMs: Long,
     ) {
-        val job = write.job
-        val from = write.shard * Shards.TASKS
-        job.writtenShards.add(write.shard)
-        write.record.done
-            .stream()
-            .forEach { job.doneWritten.set(from + it) }
-        var planned = false
-        for (g in write.record.plans) {
-            for (i in g.indices) {
-                val a = job.attempt(i)?.takeIf { it.number == g.attempt && it.machine.id == g.machine } ?: continue
-                if (a.state == AttemptState.PLANNING) {
-                    a.moveTo(AttemptState.PLANNED, nowMs)
-                    planned = true
+        val kept = KeptRound(write.key, revision, nowMs)
+        for (part in write.record.parts) {
+            val job = cluster.jobs[part.job] ?: continue
+            part.done.forEach { job.doneWritten.set(it) }
+            for (g in part.plans) {
+                for (i in g.indices) {
+                    val a = job.attempt(i)?.takeIf { it.number == g.attempt && it.machine.id == g.machine } ?: continue
+                    if (a.state == AttemptState.PLANNING) a.moveTo(AttemptState.PLANNED, nowMs)
                 }
             }
+            need(kept, job, part.shard)
         }
-        val none = job.count(AttemptState.PLANNING) == 0
-        if (!planned || none || job.activeAttempts.none { it.state == AttemptState.PLANNING && Shards.of(it.index) == write.shard }) {
-            job.dirtyPlans.remove(write.shard)
-        }
-        if (job.version(write.shard) == write.record.version) job.stale.remove(write.shard) else job.stale[write.shard] = nowMs
+        if (kept.needed.isEmpty()) leftOver.add(Write.SweepRound(write.key)) else rounds[write.key] = kept
     }
 
     // ---- the cloud ----
@@ -495,6 +633,14 @@
     }
 
     private companion object {
+        const val KB = 1024
+
+        /** Round records in one transaction. */
+        const val MAX_ROUND_VALUES = 4
+
+        /** Guards of a transaction kept for what else it holds: the leader key, and jobs that end. */
+        const val GUARDS_KEPT = 20
+
         /** Deaf machines that are asked in one go. */
         const val PROBES_AT_ONCE = 2
 
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -178,15 +178,27 @@
      *  for every job that it touches. */
     const val ARRAY_ROUND_MS = 250L
 
+    /** The same while writes are scarce. */
+    const val ARRAY_ROUND_BUSY_MS = 500L
+
     /** Tasks placed in one round at most, so that one round's work and write stay bounded. */
     const val ROUND_TASKS = 400
 
-    /** Milliseconds that a done task may wait for other changes of its shard before it is written by itself. The worker
-     *  keeps the result until then. */
-    const val DONE_BATCH_MS = 3_000L
+    /** Milliseconds that a done task may wait for a round to be written with. The worker keeps the result until then. */
+    const val DONE_BATCH_MS = 1_500L
+
+    /** The same while writes are scarce: accepts come first, and one write then tells of more tasks. */
+    const val DONE_BATCH_BUSY_MS = 4_000L
+
+    /** Milliseconds after which what a round record still tells is written to the jobs' own records, so that few rounds
+     *  must be read by a successor. Most arrays have ended by then, and cost no record of their own. */
+    const val ROUND_KEEP_MS = 45_000L
+
+    /** Guards that the store allows in a transaction for each write that it allows; each job in a round needs one. */
+    const val GUARDS_PER_WRITE = 4
 
-    /** The same while writes are scarce: plans and accepts come first, and one write then tells of more tasks. */
-    const val DONE_BATCH_BUSY_MS = 9_000L
+    /** Share of a value's permitted size that a round record is filled to. */
+    const val VALUE_FILL = 0.9
 
     /** Share of a transaction's writes that must be free for writes not to count as scarce. */
     const val PLENTY_SHARE = 0.6
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -83,6 +83,7 @@
     accepted: AcceptedJob,
 ) {
     val spec: JobSpec = accepted.spec
+    val id: String get() = spec.id
     var mark: Long = accepted.mark
     val acceptedAtMs: Long = accepted.acceptedAtMs
     val fits: Set<String> = accepted.fits.toSet()
@@ -100,17 +101,17 @@
     private var doneWithAttempt = 0
     private var doneCount = 0
 
-    /** Rises with every change of what a shard's record would hold; tells if a written record is still the present one. */
-    private val versions = HashMap<Int, Long>()
+    /** Tasks whose state has changed since it was last written: what the next round record must tell of them. */
+    val changed = BitSet()
+
+    /** Since when [changed] has held something that nobody hurries to write (steady milliseconds); 0 if nothing. */
+    var staleSinceMs = 0L
 
     /** Lowest number that may still wait. */
     private var firstWaiting = 0
 
-    /** Shards with new plans: nothing of them may start before they are written. */
-    val dirtyPlans = HashSet<Int>()
-
-    /** Shards whose record lacks done tasks or still has released ones, and since when (steady milliseconds). */
-    val stale = HashMap<Int, Long>()
+    /** Round records of which parts still tell of this job, by shard. */
+    val told = HashMap<Int, MutableSet<KeptRound>>()
 
     /** Shards that have a record in the store. */
     val writtenShards = HashSet<Int>()
@@ -137,7 +138,7 @@
         check(attempts.put(attempt.index, attempt) == null) { "${spec.id}/${attempt.index} is planned twice" }
         byState[attempt.state.ordinal]++
         if (done.get(attempt.index)) doneWithAttempt++
-        changed(attempt.index)
+        changed.set(attempt.index)
     }
 
     fun remove(attempt: Attempt) {
@@ -146,7 +147,7 @@
             byState[attempt.state.ordinal]--
             if (done.get(attempt.index)) doneWithAttempt--
             if (attempt.index < firstWaiting) firstWaiting = attempt.index
-            changed(attempt.index)
+            changed.set(attempt.index)
         }
     }
 
@@ -167,15 +168,12 @@
         done.set(index)
         doneCount++
         if (attempts.containsKey(index)) doneWithAttempt++
-        changed(index)
+        changed.set(index)
         return true
     }
 
-    private fun changed(index: Int) {
-        versions.merge(Shards.of(index), 1L, Long::plus)
-    }
-
-    fun version(shard: Int): Long = versions[shard] ?: 0L
+    /** Whether something waits to be written before it may start. */
+    val planning: Boolean get() = byState[AttemptState.PLANNING.ordinal] > 0
 
     val doneTasks: Int get() = doneCount
 
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/jobs/Rounds.kt
@@ -0,0 +1,114 @@
+package mintfield.core.jobs
+
+/**
+ * What changed in one shard of one job: new places, tasks that are done, and tasks that have no place any more. Indices
+ * are those of the job.
+ */
+class RoundPart(
+    val job: String,
+    val shard: Int,
+    val plans: List<PlannedGroup>,
+    val done: List<Int>,
+    val freed: List<Int>,
+) {
+    val indices: List<Int> get() = plans.flatMap { it.indices } + done + freed
+}
+
+/** The record of one round: a single value that tells of all the jobs it touched. */
+class RoundRecord(
+    val parts: List<RoundPart>,
+)
+
+/** A round record in the store, and how many of its parts are still needed. */
+class KeptRound(
+    val key: String,
+    /** Revision of its write. */
+    val mark: Long,
+    val writtenAtMs: Long,
+) {
+    val needed = HashSet<Pair<String, Int>>()
+}
+
+/**
+ * Rounds are written as they are decided, each as one value for all of its jobs, since the store permits few writes. A
+ * job's own record is then written only if the job outlives its rounds: what is newer than that record counts.
+ */
+object Rounds {
+    /** Characters of one value round its parts. */
+    private const val FRAME = 20
+
+    /** Takes what changed in [jobs], whole shards in order, into values of at most [maxBytes]; at most [most] values. */
+    fun take(
+        jobs: List<Job>,
+        maxBytes: Int,
+        most: Int,
+        maxJobs: Int,
+    ): List<RoundRecord> {
+        val records = ArrayList<RoundRecord>()
+        var parts = ArrayList<RoundPart>()
+        var bytes = FRAME
+        val seen = HashSet<String>()
+        for (job in jobs) {
+            if (job.id !in seen && seen.size >= maxJobs) break
+            var from = job.changed.nextSetBit(0)
+            while (from >= 0) {
+                val shard = Shards.of(from)
+                val (part, size) = part(job, shard, maxBytes - FRAME)
+                if (bytes + size > maxBytes && parts.isNotEmpty()) {
+                    records.add(RoundRecord(parts))
+                    parts = ArrayList()
+                    bytes = FRAME
+                    if (records.size >= most) return records
+                }
+                part.indices.forEach { job.changed.clear(it) }
+                seen.add(job.id)
+                parts.add(part)
+                bytes += size
+                from = job.changed.nextSetBit(from)
+            }
+        }
+        if (parts.isNotEmpty()) records.add(RoundRecord(parts))
+        return records
+    }
+
+    /** What changed in a shard, or as much of it as [maxBytes] hold, and its size. */
+    private fun part(
+        job: Job,
+        shard: Int,
+        maxBytes: Int,
+    ): Pair<RoundPart, Int> {
+        val base = shard * Shards.TASKS
+        val groups = LinkedHashMap<Triple<String, Long, Long>, MutableList<Int>>()
+        val done = ArrayList<Int>()
+        val freed = ArrayList<Int>()
+        var bytes = job.id.length + PART_FRAME
+        var i = job.changed.nextSetBit(base)
+        while (i >= 0 && i < base + Shards.TASKS && bytes + GROUP_BYTES < maxBytes) {
+            val a = job.attempt(i)
+            if (job.done.get(i)) {
+                done.add(i)
+            } else if (a == null) {
+                freed.add(i)
+            } else {
+                val group = Triple(a.machine.id, a.season, a.number)
+                if (group !in groups) bytes += a.machine.id.length + GROUP_BYTES
+                groups.getOrPut(group) { ArrayList() }.add(i)
+            }
+            bytes += INDEX_BYTES
+            i = job.changed.nextSetBit(i + 1)
+        }
+        return RoundPart(job.id, shard, groups.map { (k, v) -> PlannedGroup(k.first, k.second, k.third, v) }, done, freed) to bytes
+    }
+
+    /** Puts back what a record that was not written had taken. */
+    fun putBack(
+        job: Job,
+        part: RoundPart,
+    ) = part.indices.forEach { job.changed.set(it) }
+
+    private const val PART_FRAME = 24
+    private const val GROUP_BYTES = 40
+
+    /** A number in a list of ranges with its comma; shards have fewer than a thousand tasks. */
+    private const val INDEX_BYTES = 4
+}
--- a/src/main/kotlin/mintfield/core/jobs/Shards.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Shards.kt
@@ -15,8 +15,6 @@
 data class ShardRecord(
     val plans: List<PlannedGroup>,
     val done: BitSet,
-    /** Version of the shard that this shows, see [Job.version]. It is not part of what is kept. */
-    val version: Long = 0,
 )
 
 /**
@@ -44,7 +42,6 @@
         return ShardRecord(
             groups.map { (k, v) -> PlannedGroup(k.first, k.second, k.third, v) },
             job.done.get(from, to),
-            job.version(shard),
         )
     }
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -7,7 +7,6 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
-import mintfield.core.jobs.Shards
 import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
@@ -26,7 +25,7 @@
         most: Int,
     ): Int {
         val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
-        if (waiting.isEmpty()) return 0
+        if (waiting.isEmpty() || nowMs < cluster.holdUntilMs) return 0
         val open = cluster.machines.values.filter { it.open(nowMs) }
         if (open.isEmpty()) return 0
         val number = cluster.attemptNumber()
@@ -201,7 +200,6 @@
     ) {
         cluster.attemptUsed(number)
         cluster.occupy(job, index, number, m, m.season)
-        job.dirtyPlans.add(Shards.of(index))
         if (job.spec.shape == Shape.SERVICE) {
             log("placing ${job.spec.id}/$index on ${m.id}, image ${if (m.hasImage(job.spec.image)) "there" else "to fetch"}")
         }
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -13,6 +13,9 @@
     /** Records of plans and done-sets, by job and shard. */
     const val RECORDS = "mf/r/"
 
+    /** Rounds of plans and results, each of many jobs. */
+    const val ROUNDS = "mf/p/"
+
     /** Rental intents, by plea. */
     const val INTENTS = "mf/i/"
 
@@ -28,6 +31,8 @@
         shard: Int,
     ) = "$RECORDS$id/$shard"
 
+    fun round(key: String) = ROUNDS + key
+
     fun intent(plea: String) = INTENTS + plea
 
     /** Job and shard that a record's key names. */
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -1,8 +1,11 @@
 package mintfield.io.store
 
+import com.fasterxml.jackson.core.JsonGenerator
 import mintfield.core.Hints
 import mintfield.core.RentIntent
 import mintfield.core.jobs.PlannedGroup
+import mintfield.core.jobs.RoundPart
+import mintfield.core.jobs.RoundRecord
 import mintfield.core.jobs.ShardRecord
 import mintfield.core.jobs.Shards
 import mintfield.core.model.AcceptedJob
@@ -61,37 +64,95 @@
         Json.obj {
             if (JobSteps.DONE_SET in JobSteps.recorded) writeStringField("done", Shards.encodeBits(record.done))
             if (JobSteps.PLAN in JobSteps.recorded) {
-                writeArrayFieldStart("plan")
-                for (g in record.plans) {
-                    writeStartArray()
-                    writeString(g.machine)
-                    writeNumber(g.season)
-                    writeNumber(g.attempt)
-                    writeString(Shards.ranges(g.indices, shard * Shards.TASKS))
-                    writeEndArray()
-                }
-                writeEndArray()
+                plans(this, record.plans, shard)
             }
         }
 
+    private fun plans(
+        to: JsonGenerator,
+        plans: List<PlannedGroup>,
+        shard: Int,
+    ) = with(to) {
+        writeArrayFieldStart("plan")
+        for (g in plans) {
+            writeStartArray()
+            writeString(g.machine)
+            writeNumber(g.season)
+            writeNumber(g.attempt)
+            writeString(Shards.ranges(g.indices, shard * Shards.TASKS))
+            writeEndArray()
+        }
+        writeEndArray()
+    }
+
+    /** One round: the outputs of the plan and done-set steps of every job that it touched, keyed by job and shard. */
+    fun round(record: RoundRecord): ByteArray =
+        Json.obj {
+            writeArrayFieldStart("parts")
+            for (part in record.parts) {
+                val base = part.shard * Shards.TASKS
+                writeStartObject()
+                writeStringField("job", part.job)
+                writeNumberField("shard", part.shard)
+                if (JobSteps.PLAN in JobSteps.recorded && part.plans.isNotEmpty()) plans(this, part.plans, part.shard)
+                if (JobSteps.DONE_SET in JobSteps.recorded && part.done.isNotEmpty()) writeStringField("done", Shards.ranges(part.done, base))
+                if (part.freed.isNotEmpty()) writeStringField("free", Shards.ranges(part.freed, base))
+                writeEndObject()
+            }
+            writeEndArray()
+        }
+
+    /** What a round record says; [unreadable] is told of jobs of which something cannot be read, null if it is not known of which. */
+    fun parseRound(
+        data: Map<String, Any?>,
+        unreadable: (String?) -> Unit,
+    ): RoundRecord {
+        val list = data["parts"].asList()
+        if (list == null) unreadable(null)
+        return RoundRecord(
+            list.orEmpty().mapNotNull { item ->
+                val part = item.asMap()
+                try {
+                    parsePart(requireNotNull(part) { "not an object" })
+                } catch (_: RuntimeException) {
+                    unreadable(part?.string("job"))
+                    null
+                }
+            },
+        )
+    }
+
+    private fun parsePart(part: Map<String, Any?>): RoundPart {
+        val shard = requireNotNull(part.long("shard")) { "no shard" }.toInt()
+        val base = shard * Shards.TASKS
+
+        fun ranges(field: String) = if (field in part) Shards.parseRanges(requireNotNull(part.string(field)), base) else emptyList()
+        val plans = if ("plan" in part) parsePlans(part["plan"], shard) else emptyList()
+        return RoundPart(requireNotNull(part.string("job")) { "no job" }, shard, plans, ranges("done"), ranges("free"))
+    }
+
+    /** A record read in part would be a plan forgotten, and its tasks started twice: all of it, or an error. */
     fun parseShard(
         data: Map<String, Any?>,
         shard: Int,
     ): ShardRecord {
-        // A record read in part would be a plan forgotten, and its tasks started twice: all of it, or an error.
-        val plans =
-            requireNotNull(data["plan"].asList()) { "no plan" }.map { item ->
-                val g = requireNotNull(item.asList()?.takeIf { it.size == 4 }) { "a group of ${item.asList()?.size} fields" }
-                PlannedGroup(
-                    requireNotNull(g[0] as? String) { "no machine" },
-                    requireNotNull(Json.asLong(g[1])) { "no season" },
-                    requireNotNull(Json.asLong(g[2])) { "no attempt" },
-                    Shards.parseRanges(requireNotNull(g[3] as? String) { "no tasks" }, shard * Shards.TASKS),
-                )
-            }
-        return ShardRecord(plans, Shards.decodeBits(requireNotNull(data.string("done")) { "no done-set" }))
+        return ShardRecord(parsePlans(data["plan"], shard), Shards.decodeBits(requireNotNull(data.string("done")) { "no done-set" }))
     }
 
+    private fun parsePlans(
+        plans: Any?,
+        shard: Int,
+    ): List<PlannedGroup> =
+        requireNotNull(plans.asList()) { "no plan" }.map { item ->
+            val g = requireNotNull(item.asList()?.takeIf { it.size == 4 }) { "a group of ${item.asList()?.size} fields" }
+            PlannedGroup(
+                requireNotNull(g[0] as? String) { "no machine" },
+                requireNotNull(Json.asLong(g[1])) { "no season" },
+                requireNotNull(Json.asLong(g[2])) { "no attempt" },
+                Shards.parseRanges(requireNotNull(g[3] as? String) { "no tasks" }, shard * Shards.TASKS),
+            )
+        }
+
     /** Cut to what [maxBytes] allows: the machines that come last are left out. */
     fun hints(
         hints: Hints,
