--- a/src/test/kotlin/mintfield/CodecTest.kt
+++ b/src/test/kotlin/mintfield/CodecTest.kt
@@ -1,14 +1,19 @@
 package mintfield
 
 import mintfield.core.jobs.PlannedGroup
+import mintfield.core.jobs.RoundPart
+import mintfield.core.jobs.RoundRecord
 import mintfield.core.jobs.ShardRecord
 import mintfield.core.jobs.Shards
 import mintfield.core.leadership.LeaseClock
 import mintfield.io.json.Json
 import mintfield.io.store.Records
 import mintfield.io.worker.JobCodec
+import mintfield.io.worker.WorkerCodec
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertSame
+import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.BitSet
@@ -34,6 +39,48 @@
         assertTrue(bytes <= 8 * 1024, "$bytes bytes")
     }
 
+    @Test
+    fun `a round is read as it was written, and what cannot be read is told, job by job`() {
+        val group = PlannedGroup("m-000001", 3, 4_000_000_000L * 65_536, listOf(192, 193, 200))
+        val part = RoundPart("wk-000001", 1, listOf(group), listOf(195, 196), listOf(383))
+        val other = RoundPart("wk-000002", 0, emptyList(), listOf(0), emptyList())
+        val told = ArrayList<String?>()
+        val text = String(Records.round(RoundRecord(listOf(part, other))))
+        val read = Records.parseRound(Json.parseObject(text.toByteArray())!!) { told.add(it) }.parts
+        assertEquals(listOf(group), read[0].plans)
+        assertEquals(listOf(195, 196) to listOf(383), read[0].done to read[0].freed)
+        assertEquals(listOf("wk-000002"), read.drop(1).map { it.job })
+        assertEquals(emptyList<String?>(), told)
+        val torn = text.replace("\"m-000001\"", "7")
+        assertEquals(listOf("wk-000002"), Records.parseRound(Json.parseObject(torn.toByteArray())!!) { told.add(it) }.parts.map { it.job })
+        assertEquals(listOf<String?>("wk-000001"), told)
+        Records.parseRound(mapOf("parts" to 7L)) { told.add(it) }
+        assertEquals(listOf("wk-000001", null), told)
+        assertThrows(RuntimeException::class.java) { Records.parseShard(mapOf("plan" to emptyList<Any>()), 0) }
+        assertThrows(RuntimeException::class.java) { Records.parseShard(mapOf("done" to ""), 0) }
+    }
+
+    @Test
+    fun `the same tasks again are not read again, and whatever follows them is`() {
+        val reader = WorkerCodec.Reader()
+
+        fun report(
+            tally: Int,
+            tasks: String,
+            more: String = "",
+        ) = reader.report("""{"plot":"m-1","season":1,"tally":$tally,"pieces":[$tasks]$more}""".toByteArray())!!
+        val task = """{"piece":"wk-1/0","sowing":2,"stage":"running"}"""
+        val first = report(1, task)
+        assertSame(first.tasks, report(2, task).tasks)
+        assertEquals(3L, report(3, task).tally)
+        assertEquals(0, report(4, "").tasks.size)
+        val noticed = report(5, task, ""","staff":9,"reclaimS":4.5""")
+        assertEquals(4.5, noticed.noticeS)
+        assertEquals(9L, noticed.termSeen)
+        assertEquals(first.tasks, noticed.tasks)
+        assertEquals(null, report(6, task).noticeS)
+    }
+
     @Test
     fun `a malformed job is refused with the field's name, and its id kept if it can be read`() {
         val good = String(Json.write { JobCodec.write(it, Fixtures.spec("wk-000001")) })
--- a/src/test/kotlin/mintfield/sim/SimWorker.kt
+++ b/src/test/kotlin/mintfield/sim/SimWorker.kt
@@ -28,12 +28,16 @@
     var term = 0L
     var alive = true
     var hungUntil = 0L
+
+    /** Until then nothing that is sent to it arrives, though its reports do. */
+    var deafUntil = 0L
     var leaseFrom = now
     var nextReportAt = now
     var waitingSince = -1L
     val tasks = LinkedHashMap<TaskId, Held>()
 
     val hung get() = now < hungUntil
+    val deaf get() = now < deafUntil
 
     /** Tasks that count as on this machine. */
     fun present(): List<TaskId> = if (alive) tasks.filter { it.value.state != ReportedState.ENDED }.keys.toList() else emptyList()
--- a/src/test/kotlin/mintfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/mintfield/sim/SimulationTest.kt
@@ -60,6 +60,12 @@
         assertTrue(caught(SimWorld.Faults(releaseSilent = true)).message!!.startsWith("ran_twice"))
     }
 
+    @Test
+    fun `a leader that does not know late copies of reports from new ones is caught`() {
+        val rule = caught(SimWorld.Faults(forgetOrder = true)).message!!
+        assertTrue(rule.startsWith("ran_twice") || rule.startsWith("quota"), rule)
+    }
+
     @Test
     fun `a leader that forgets the team's limit is caught`() {
         assertTrue(caught(SimWorld.Faults(forgetQuota = true)).message!!.startsWith("quota"))
--- a/src/test/kotlin/mintfield/standin/StandIns.kt
+++ b/src/test/kotlin/mintfield/standin/StandIns.kt
@@ -54,6 +54,22 @@
         return server.port
     }
 
+    /** Calls to a node, all at once, from outside the loop. */
+    fun calls(
+        node: InetSocketAddress,
+        method: String,
+        path: String,
+        bodies: List<String>,
+    ): List<Reply> {
+        val answers = bodies.map { java.util.concurrent.CompletableFuture<Reply>() }
+        loop.post {
+            bodies.forEachIndexed { i, body ->
+                scope.launch { answers[i].complete(HttpClient(loop, group, node, 0).call(method, path, body.toByteArray(), 5_000)) }
+            }
+        }
+        return answers.map { it.get() }
+    }
+
     /** A call to a node, from outside the loop. */
     fun call(
         node: InetSocketAddress,
@@ -105,9 +121,29 @@
 
         @Volatile var down = false
 
+        /** Gives no answer at all, as if it were behind a cut. */
+        @Volatile var silent = false
+
+        /** Submissions that one transaction may hold; a larger one is refused as too many. */
+        @Volatile var mostSubmissions = Int.MAX_VALUE
+
+        /** Puts [json] under [key], whatever the rules. */
+        fun plant(
+            key: String,
+            json: String,
+        ) {
+            val done = java.util.concurrent.CountDownLatch(1)
+            loop.post {
+                change(key, Json.parse(json.toByteArray()), null, ++revision)
+                done.countDown()
+            }
+            done.await()
+        }
+
         suspend fun handle(r: HttpMessage): Response {
             expire()
             if (down) return Response.error(503, "trouble")
+            while (silent) delay(50)
             val path = r.second.substringBefore('?')
             val query =
                 r.second
@@ -185,6 +221,7 @@
             }
             val writes = body["writes"].asList().orEmpty().map { it.asMap()!! }
             if (writes.any { w -> w.long("tenancy")?.let { it !in leases } == true }) return Response.error(400, "no such lease")
+            if (writes.count { "/l/" in it.string("write").orEmpty() } > mostSubmissions) return Response.error(429, "too many")
             if (writes.isNotEmpty()) revision++
             for (w in writes) {
                 w.string("write")?.let { change(it, w["data"], w.long("tenancy"), revision) }
