--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -63,8 +63,9 @@
 
     /**
      * Where not all can meet their aims the largest are put off until the rest can (Moore and Hodgson's rule): first for
-     * the aims that come next, then for the later ones of those put off. What can be met is served the least work first:
-     * with the earliest aim first every job would end just in time, and one wrong estimate make all after it late.
+     * the aims that come next, then for the later ones of those put off. What can be met is served in the order of
+     * work times time left: with the earliest aim first every job would end just in time, and one wrong estimate make all
+     * after it late; with the least work first alone, large jobs miss aims that they could have met.
      */
     private fun byAims(
         jobs: List<Job>,
@@ -90,7 +91,7 @@
                     putOff.add(off)
                 }
             }
-            chosen.addAll(accepted.sortedWith(LEAST_WORK).map { it.job })
+            chosen.addAll(accepted.sortedWith(compareBy<Claim> { it.workS * (it.dues[level] - wallMs) }.thenBy { it.job.spec.id }).map { it.job })
             open = putOff + without
             level++
         }
