--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -82,8 +82,16 @@
         val path = request.second
         return when {
             path == "/checkin" -> only("POST", request) { checkin(request) }
-            path == "/v1/jobs" -> only("POST", request) { timed(outside.metrics::accepted) { users.submit(request) } }
             path == "/ready" -> only("GET", request) { ready() }
+            path.startsWith("/v1/jobs") -> peers.relayUser(request) ?: user(request)
+            else -> Response.error(404, "no such path")
+        }
+    }
+
+    private suspend fun user(request: HttpMessage): Response {
+        val path = request.second
+        return when {
+            path == "/v1/jobs" -> only("POST", request) { timed(outside.metrics::accepted) { users.submit(request) } }
             path.startsWith(JOB_PATH) && path.endsWith("/abort") ->
                 only("POST", request) { users.abort(path.substring(JOB_PATH.length, path.length - "/abort".length)) }
             path.startsWith(JOB_PATH) -> only("GET", request) { timed(outside.metrics::polled) { users.poll(path.substring(JOB_PATH.length)) } }
@@ -160,6 +168,12 @@
         return if (answer.status == 421) Response(421, Json.obj { writeStringField("steward", leader) }) else Response(answer.status, answer.body)
     }
 
+    override suspend fun relayedUser(
+        method: String,
+        path: String,
+        body: ByteArray,
+    ) = user(HttpMessage(method, path, "HTTP/1.1", emptyMap(), body))
+
     override fun relayed(body: ByteArray): Response {
         val leader = member.leader ?: return Response(503, Json.obj { })
         val report = reader.report(body) ?: return Response.error(400, "not a report")
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -40,11 +40,21 @@
     @ProtoNumber(2) val body: ByteArray,
 )
 
+/** A user's request that came to a node which the store does not serve. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+class RelayedRequest(
+    @ProtoNumber(1) val method: String,
+    @ProtoNumber(2) val path: String,
+    @ProtoNumber(3) val body: ByteArray,
+)
+
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 class RelayAnswer(
     @ProtoNumber(1) val status: Int,
     @ProtoNumber(2) val body: ByteArray,
+    @ProtoNumber(3) val retryAfterS: Int = 0,
 )
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -83,6 +93,13 @@
             term: Long,
         )
 
+        /** A user's request that came by way of a sibling; it is not passed on any further. */
+        suspend fun relayedUser(
+            method: String,
+            path: String,
+            body: ByteArray,
+        ): Response
+
         /** A report that came by way of a sibling. */
         fun relayed(body: ByteArray): Response
     }
@@ -144,14 +161,36 @@
         return decode(RelayAnswer.serializer(), reply.body)
     }
 
+    /**
+     * The answer of a sibling that the store serves, while it does not serve this node; null if there is none. The user
+     * would else come back later, and through the same open connection to the same node.
+     */
+    suspend fun relayUser(request: HttpMessage): Response? {
+        if (refusedSinceMs == null) return null
+        val now = loop.nowMs()
+        val sibling = heard.values.firstOrNull { it.note.storeServes && now - it.atMs < Tuning.PEER_FRESH_MS } ?: return null
+        val client = clients[sibling.note.member] ?: return null
+        val relayed = RelayedRequest(request.first, request.second, request.body)
+        val reply = client.call("POST", "/user", ProtoBuf.encodeToByteArray(RelayedRequest.serializer(), relayed), Tuning.PEER_TIMEOUT_MS)
+        if (reply !is Reply.Answer || reply.status != 200) return null
+        val answer = decode(RelayAnswer.serializer(), reply.body) ?: return null
+        return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
+    }
+
     suspend fun receive(request: HttpMessage): Response {
-        if (request.second != "/peer" && request.second != "/relay") return Response.error(404, "no such path")
+        if (request.second !in PATHS) return Response.error(404, "no such path")
         if (request.first != "POST") return Response.error(405, "only POST is served here")
         if (request.second == "/relay") {
             val relayed = decode(RelayedReport.serializer(), request.body) ?: return Response.error(400, "not a report")
             val answer = owner.relayed(relayed.body)
             return Response(200, ProtoBuf.encodeToByteArray(RelayAnswer.serializer(), RelayAnswer(answer.status, answer.body)))
         }
+        if (request.second == "/user") {
+            val relayed = decode(RelayedRequest.serializer(), request.body) ?: return Response.error(400, "not a request")
+            val answer = owner.relayedUser(relayed.method, relayed.path, relayed.body)
+            val out = RelayAnswer(answer.status, answer.body, answer.retryAfterS ?: 0)
+            return Response(200, ProtoBuf.encodeToByteArray(RelayAnswer.serializer(), out))
+        }
         val note = decode(PeerNote.serializer(), request.body) ?: return Response.error(400, "not a note")
         heard[note.member] = Heard(note, loop.nowMs())
         if (note.crowded) owner.siblingCrowded()
@@ -201,6 +240,8 @@
     }
 
     private companion object {
+        val PATHS = setOf("/peer", "/relay", "/user")
+
         /** Jobs in one note; keeps it within the bound on request bodies. */
         const val MAX_JOBS = 2_000
     }
