--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -149,7 +149,6 @@
         scheduler.types(outside.types.values.toList(), loop.nowMs())
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         val intents = readAll(Keys.INTENTS)
-        val records = readAll(Keys.RECORDS)
         val rounds = readAll(Keys.ROUNDS).sortedBy { it.mark }
         readMachines()
         val hints = (store.get(Keys.HINTS, urgent = true) as? StoreResult.Ok)?.value?.let { Records.parseHints(it.data) }
@@ -159,30 +158,20 @@
         view.listener = this
         view.live.values.forEach { scheduler.jobChanged(it, now) }
         intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(Keys.INTENTS), it.data)) }
-        for (r in records) {
-            val (job, shard) = Keys.parseShard(r.key) ?: continue
-            val record =
-                try {
-                    Records.parseShard(r.data, shard)
-                } catch (e: RuntimeException) {
-                    Log.error("${r.key}: the record of revision ${r.mark} cannot be read: $e; it is kept, and the job waits")
-                    scheduler.replayUnreadable(job, shard)
-                    continue
-                }
-            scheduler.replayShard(job, shard, record, now, r.mark)
-        }
         for (r in rounds) {
+            var keep = false
             val record =
                 Records.parseRound(r.data) { job ->
+                    keep = true
                     Log.error("${r.key}: what the round of revision ${r.mark} says of ${job ?: "some job"} cannot be read; it is kept")
                     if (job == null) scheduler.replayUnreadableRound(now) else scheduler.replayUnreadableJob(job)
                 }
-            scheduler.replayRound(r.key.removePrefix(Keys.ROUNDS), record, r.mark, now)
+            scheduler.replayRound(r.key.removePrefix(Keys.ROUNDS), record, r.mark, now, keep)
         }
         hints?.let { scheduler.recall(it) }
         scheduler.replayDone(now)
         Log.info(
-            "replayed ${view.live.size} jobs, ${records.size} records, ${rounds.size} rounds, ${intents.size} intents, " +
+            "replayed ${view.live.size} jobs, ${rounds.size} rounds, ${intents.size} intents, " +
                 "${scheduler.cluster.machines.size} machines in ${loop.nowMs() - startMs} ms",
         )
     }
@@ -229,7 +218,7 @@
             withTimeoutOrNull(IDLE_WAIT_MS) { wake.receive() }
             while (mayAct()) {
                 val ops = minOf(settings.txnOps, writesAvailable().toInt())
-                val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops) ?: break
+                val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops, yieldUntilMs > 0) ?: break
                 carryOut(commit)
                 sendDirect()
                 delay(Tuning.ROUND_MS)
@@ -309,7 +298,6 @@
     private fun guardsOf(w: Write): List<Guard> =
         when (w) {
             is Write.Round -> w.jobs.map { Guard(Keys.live(it.spec.id), it.mark) }
-            is Write.Progress -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
             is Write.Finish -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
             is Write.Sweep -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
             else -> emptyList()
@@ -319,14 +307,12 @@
         when (w) {
             is Write.Round -> listOf(KeyWrite.Put(Keys.round(w.key), Records.round(w.record)))
             is Write.SweepRound -> listOf(KeyWrite.Delete(Keys.round(w.key)))
-            is Write.Progress -> listOf(KeyWrite.Put(Keys.shard(w.job.spec.id, w.shard), Records.shard(w.record, w.shard)))
             is Write.Finish ->
                 listOf(
                     KeyWrite.Put(Keys.final(w.job.spec.id), Records.final(FinalState(Stage.DONE, w.job.spec.tasks))),
                     KeyWrite.Delete(Keys.live(w.job.spec.id)),
                 )
             is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
-            is Write.SweepRecord -> listOf(KeyWrite.Delete(Keys.shard(w.jobId, w.shard)))
             is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
             is Write.Remember -> listOf(KeyWrite.Put(Keys.HINTS, Records.hints(w.hints, (settings.valueKb * 1000).toInt())))
             is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -2,7 +2,6 @@
 
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.RoundRecord
-import mintfield.core.jobs.ShardRecord
 import mintfield.core.model.Order
 
 /** One change that the leader wants in the store. */
@@ -19,13 +18,6 @@
         val key: String,
     ) : Write
 
-    /** Progress of a job in one shard, in full: replaces what round records tell of it. */
-    data class Progress(
-        val job: Job,
-        val shard: Int,
-        val record: ShardRecord,
-    ) : Write
-
     /** The job is done: its final state replaces it and its records. */
     data class Finish(
         val job: Job,
@@ -36,12 +28,6 @@
         val job: Job,
     ) : Write
 
-    /** Records that belong to no job any more. */
-    data class SweepRecord(
-        val jobId: String,
-        val shard: Int,
-    ) : Write
-
     data class Intend(
         val intent: RentIntent,
     ) : Write
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -12,7 +12,6 @@
 import mintfield.core.jobs.ReportHandler
 import mintfield.core.jobs.RoundRecord
 import mintfield.core.jobs.Rounds
-import mintfield.core.jobs.ShardRecord
 import mintfield.core.jobs.Shards
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.MachineType
@@ -52,7 +51,6 @@
 
     /** Round records in the store, the oldest first. */
     private val rounds = LinkedHashMap<String, KeptRound>()
-    private val shardMarks = HashMap<Pair<String, Int>, Long>()
     private var roundNumber = 0L
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
@@ -74,45 +72,26 @@
         fleet.intents[intent.plea] = intent
     }
 
-    /** Takes a recorded plan and done-set as outputs of steps that need not run again. */
-    fun replayShard(
-        jobId: String,
-        shard: Int,
-        record: ShardRecord,
-        nowMs: Long,
-        mark: Long = 0,
-    ) {
-        val job = cluster.jobs[jobId]
-        if (job == null) {
-            leftOver.add(Write.SweepRecord(jobId, shard))
-            return
-        }
-        val from = shard * Shards.TASKS
-        job.writtenShards.add(shard)
-        shardMarks[jobId to shard] = mark
-        record.done.stream().forEach { replayDone(job, from + it, nowMs) }
-        record.plans.forEach { replayPlan(job, it, nowMs) }
-    }
-
     /**
-     * Takes a round record, after the jobs' own records and in order of their revisions. What a job's own record is newer
-     * than is left out; of the rest the later tells the truth, as it was written with proof.
+     * Takes a round's record as outputs of plan and done-set steps that need not run again. Rounds come in the order of
+     * their revisions: the later one tells the truth, as it was written with proof. [keep]: something in it cannot be read.
      */
     fun replayRound(
         key: String,
         record: RoundRecord,
         mark: Long,
         nowMs: Long,
+        keep: Boolean = false,
     ) {
         val kept = KeptRound(key, mark, nowMs)
         for (part in record.parts) {
             val job = cluster.jobs[part.job] ?: continue
-            if ((shardMarks[part.job to part.shard] ?: 0) > mark) continue
             part.freed.forEach { i -> job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) } }
             part.plans.forEach { replayPlan(job, it, nowMs) }
             part.done.forEach { replayDone(job, it, nowMs) }
             need(kept, job, part.shard)
         }
+        if (keep) return
         if (kept.needed.isEmpty()) leftOver.add(Write.SweepRound(key)) else rounds[key] = kept
     }
 
@@ -168,16 +147,6 @@
         if (kept.isEmpty()) job.told.remove(shard)
     }
 
-    /** A record that cannot be read may plan anything anywhere: the job keeps what it has, and gets nothing new. */
-    fun replayUnreadable(
-        jobId: String,
-        shard: Int,
-    ) {
-        val job = cluster.jobs[jobId] ?: return
-        job.writtenShards.add(shard)
-        job.unreadable = true
-    }
-
     /**
      * A round record of which not even the jobs can be told. What it planned is at work unknown to us, until its workers
      * have reported or lost their leases; nothing is planned before.
@@ -187,6 +156,7 @@
         cluster.holdUntilMs = nowMs + leaseMs + Tuning.SILENT_RETURN_MS / 2
     }
 
+    /** What cannot be read may plan anything anywhere: the job keeps what it has, and gets nothing new. */
     fun replayUnreadableJob(jobId: String) {
         cluster.jobs[jobId]?.unreadable = true
     }
@@ -224,7 +194,6 @@
     fun replayDone(nowMs: Long) {
         loaded = true
         cluster.replayedAtMs = nowMs
-        shardMarks.clear()
         // What was replayed is written already.
         for (job in cluster.jobs.values) {
             job.changed.clear()
@@ -261,10 +230,9 @@
     ) {
         val job = cluster.jobs.remove(id) ?: return
         job.told.keys.toList().forEach { unneeded(job, it, Long.MAX_VALUE) }
-        for (a in job.activeAttempts.toList()) {
-            cluster.stop(a, nowMs, "job ended")
-            if (a.live) cluster.release(a, nowMs, "job ended")
-        }
+        // A line for each would fill the log of a leader that comes back and finds everything ended.
+        if (job.activeAttempts.isNotEmpty()) log("$id is gone from the store, ${job.activeAttempts.size} tasks are left to their workers' reports")
+        for (a in job.activeAttempts.toList()) cluster.release(a, nowMs, Cluster.DESCRIBED_ANEW)
     }
 
     // ---- workers ----
@@ -376,6 +344,7 @@
         nowMs: Long,
         wallMs: Long,
         ops: Int,
+        yielding: Boolean = false,
     ): Commit? {
         if (!loaded || ops <= 0) return null
         if (raiseNow || (cluster.raiseWanted && nowMs - lastRaiseMs >= Tuning.RAISE_TERM_GAP_MS)) {
@@ -397,6 +366,7 @@
                 left -= 2
             }
         }
+        refresh(nowMs)
         left -= addRounds(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
         if (left > 0 && fleet.wishes.isNotEmpty()) {
             writes.add(Write.Intend(fleet.wishes.first()))
@@ -408,7 +378,15 @@
             writes.add(Write.DropIntent(plea))
             left--
         }
-        left = addRecords(writes, left, nowMs)
+        // While users wait for their writes, what is left of ended jobs may wait for them.
+        if (yielding && leftOver.size < MOST_LEFT_OVER) return if (writes.isEmpty()) null else Commit(cluster.term, writes)
+        for (job in cluster.jobs.values) {
+            if (left <= 0) break
+            if (job.withdrawn && job.activeAttempts.isEmpty() && !job.finishing) {
+                writes.add(Write.Sweep(job))
+                left--
+            }
+        }
         if (left > 0 && nowMs - lastHintsMs >= Tuning.HINTS_MS) {
             lastHintsMs = nowMs
             writes.add(Write.Remember(hints()))
@@ -444,31 +422,23 @@
         return records.size
     }
 
-    /** Records of what has ended go; jobs that outlive their rounds get records of their own. Returns what room is left. */
-    private fun addRecords(
-        writes: MutableList<Write>,
-        room: Int,
-        nowMs: Long,
-    ): Int {
-        var left = room
-        for (job in cluster.jobs.values) {
-            if (left <= 0) return left
-            if (job.withdrawn && job.activeAttempts.isEmpty() && !job.finishing) {
-                writes.add(Write.Sweep(job))
-                left--
-            }
-        }
-        val oldest = rounds.values.firstOrNull()?.takeIf { nowMs - it.writtenAtMs > Tuning.ROUND_KEEP_MS } ?: return left
-        for ((id, shard) in oldest.needed) {
-            if (left <= SWEEP_RESERVE) return left
-            val job = cluster.jobs[id] ?: continue
-            if (job.withdrawn || job.finishing || job.unreadable) continue
-            // It calls written what it holds: so all that changed must be in the rounds of this same transaction.
-            if (Shards.of(job.changed.nextSetBit(shard * Shards.TASKS)) == shard) continue
-            writes.add(Write.Progress(job, shard, Shards.record(job, shard)))
+    /**
+     * What an old round still tells is told anew by the next one, so that it may go and a successor has few to read. It
+     * costs no write of its own; most arrays have ended before.
+     */
+    private fun refresh(nowMs: Long) {
+        var left = REFRESH_AT_ONCE
+        for (round in rounds.values) {
+            if (left <= 0 || nowMs - round.writtenAtMs < Tuning.ROUND_KEEP_MS) return
+            if (round.refreshed) continue
+            round.refreshed = true
             left--
+            for ((id, shard) in round.needed) {
+                val job = cluster.jobs[id] ?: continue
+                job.changeAll(shard)
+                if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
+            }
         }
-        return left
     }
 
     fun committed(
@@ -529,14 +499,6 @@
         when (write) {
             is Write.Round -> roundWritten(write, revision, nowMs)
             is Write.SweepRound -> leftOver.remove(write)
-            is Write.Progress -> {
-                write.job.writtenShards.add(write.shard)
-                val from = write.shard * Shards.TASKS
-                write.record.done
-                    .stream()
-                    .forEach { write.job.doneWritten.set(from + it) }
-                unneeded(write.job, write.shard, revision)
-            }
             is Write.Finish -> {
                 write.job.finishing = true
                 log("${write.job.spec.id} is done")
@@ -546,7 +508,6 @@
                 log("${write.job.spec.id} is swept")
                 finished(write.job, nowMs)
             }
-            is Write.SweepRecord -> leftOver.remove(write)
             is Write.Intend -> {
                 fleet.wishes.remove(write.intent)
                 fleet.intents[write.intent.plea] = write.intent
@@ -573,7 +534,6 @@
         job: Job,
         nowMs: Long,
     ) {
-        job.writtenShards.forEach { leftOver.add(Write.SweepRecord(job.spec.id, it)) }
         jobRemoved(job.spec.id, nowMs)
     }
 
@@ -593,6 +553,7 @@
                 }
             }
             need(kept, job, part.shard)
+            if (part.full) unneeded(job, part.shard, revision)
         }
         if (kept.needed.isEmpty()) leftOver.add(Write.SweepRound(write.key)) else rounds[write.key] = kept
     }
@@ -635,6 +596,12 @@
     private companion object {
         const val KB = 1024
 
+        /** Old rounds whose rest is told anew in one go. */
+        const val REFRESH_AT_ONCE = 2
+
+        /** Records that may wait to be swept while users wait; more would cost a successor too much time to read. */
+        const val MOST_LEFT_OVER = 300
+
         /** Round records in one transaction. */
         const val MAX_ROUND_VALUES = 4
 
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -190,8 +190,8 @@
     /** The same while writes are scarce: accepts come first, and one write then tells of more tasks. */
     const val DONE_BATCH_BUSY_MS = 4_000L
 
-    /** Milliseconds after which what a round record still tells is written to the jobs' own records, so that few rounds
-     *  must be read by a successor. Most arrays have ended by then, and cost no record of their own. */
+    /** Milliseconds after which what a round record still tells is told anew by a later one, so that few rounds must be
+     *  read by a successor. Most arrays have ended by then. */
     const val ROUND_KEEP_MS = 45_000L
 
     /** Guards that the store allows in a transaction for each write that it allows; each job in a round needs one. */
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -113,9 +113,6 @@
     /** Round records of which parts still tell of this job, by shard. */
     val told = HashMap<Int, MutableSet<KeptRound>>()
 
-    /** Shards that have a record in the store. */
-    val writtenShards = HashSet<Int>()
-
     /** Completed tasks whose run time was seen, and the sum of those times in seconds. */
     var measured = 0
     var measuredS = 0.0
@@ -172,6 +169,16 @@
         return true
     }
 
+    /** Marks all that there is to tell of a shard as changed. */
+    fun changeAll(shard: Int) {
+        for (i in shard * Shards.TASKS until minOf(spec.tasks, (shard + 1) * Shards.TASKS)) if (toldOf(i)) changed.set(i)
+    }
+
+    /** How many tasks of a shard there is something to tell of: without a word a task counts as waiting. */
+    fun toTell(shard: Int): Int = (shard * Shards.TASKS until minOf(spec.tasks, (shard + 1) * Shards.TASKS)).count { toldOf(it) }
+
+    private fun toldOf(index: Int) = done.get(index) || attempts.containsKey(index)
+
     /** Whether something waits to be written before it may start. */
     val planning: Boolean get() = byState[AttemptState.PLANNING.ordinal] > 0
 
--- a/src/main/kotlin/mintfield/core/jobs/Rounds.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Rounds.kt
@@ -10,6 +10,8 @@
     val plans: List<PlannedGroup>,
     val done: List<Int>,
     val freed: List<Int>,
+    /** It tells all there is to tell of its shard, so that no earlier round is needed for it. */
+    val full: Boolean = false,
 ) {
     val indices: List<Int> get() = plans.flatMap { it.indices } + done + freed
 }
@@ -27,11 +29,14 @@
     val writtenAtMs: Long,
 ) {
     val needed = HashSet<Pair<String, Int>>()
+
+    /** What it still tells was marked to be told anew. */
+    var refreshed = false
 }
 
 /**
- * Rounds are written as they are decided, each as one value for all of its jobs, since the store permits few writes. A
- * job's own record is then written only if the job outlives its rounds: what is newer than that record counts.
+ * Rounds are written as they are decided, each as one value for all of its jobs, since the store permits few writes. What
+ * an old round still tells of jobs that live is told anew by a later one, until nothing of it is needed.
  */
 object Rounds {
     /** Characters of one value round its parts. */
@@ -97,7 +102,9 @@
             bytes += INDEX_BYTES
             i = job.changed.nextSetBit(i + 1)
         }
-        return RoundPart(job.id, shard, groups.map { (k, v) -> PlannedGroup(k.first, k.second, k.third, v) }, done, freed) to bytes
+        val plans = groups.map { (k, v) -> PlannedGroup(k.first, k.second, k.third, v) }
+        val full = done.size + plans.sumOf { it.indices.size } == job.toTell(shard)
+        return RoundPart(job.id, shard, plans, done, freed, full) to bytes
     }
 
     /** Puts back what a record that was not written had taken. */
--- a/src/main/kotlin/mintfield/core/jobs/Shards.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Shards.kt
@@ -1,8 +1,5 @@
 package mintfield.core.jobs
 
-import java.util.Base64
-import java.util.BitSet
-
 /** Plan of some tasks on one machine, as a record holds it. */
 data class PlannedGroup(
     val machine: String,
@@ -11,40 +8,16 @@
     val indices: List<Int>,
 )
 
-/** The recorded outputs of a job's plan and done-set steps for one range of its tasks. */
-data class ShardRecord(
-    val plans: List<PlannedGroup>,
-    val done: BitSet,
-)
-
 /**
- * A job's progress is kept in shards of a fixed number of tasks, so that a job of any size fits values and
+ * A job's progress is told in shards of a fixed number of tasks, so that a job of any size fits values and
  * transactions of any store, and a change writes in proportion to what changed.
  */
 object Shards {
-    /** Tasks a shard; even with every task on a machine of its own the record stays within 8 KiB. */
+    /** Tasks a shard; even with every task on a machine of its own, two values of 8 KiB hold one. */
     const val TASKS = 192
 
     fun of(index: Int) = index / TASKS
 
-    fun record(
-        job: Job,
-        shard: Int,
-    ): ShardRecord {
-        val from = shard * TASKS
-        val to = minOf(from + TASKS, job.spec.tasks)
-        val groups = LinkedHashMap<Triple<String, Long, Long>, MutableList<Int>>()
-        for (i in from until to) {
-            if (job.done.get(i)) continue
-            val a = job.attempt(i) ?: continue
-            groups.getOrPut(Triple(a.machine.id, a.season, a.number)) { ArrayList() }.add(i)
-        }
-        return ShardRecord(
-            groups.map { (k, v) -> PlannedGroup(k.first, k.second, k.third, v) },
-            job.done.get(from, to),
-        )
-    }
-
     /** `0-3,7`: numbers relative to the shard. */
     fun ranges(
         indices: List<Int>,
@@ -75,8 +48,4 @@
                 (part.substring(0, dash).toInt()..part.substring(dash + 1).toInt()).map { from + it }
             }
         }
-
-    fun encodeBits(bits: BitSet): String = Base64.getEncoder().encodeToString(bits.toByteArray())
-
-    fun decodeBits(text: String): BitSet = BitSet.valueOf(Base64.getDecoder().decode(text))
 }
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -10,9 +10,6 @@
     const val LIVE = "mf/j/l/"
     const val FINAL = "mf/j/f/"
 
-    /** Records of plans and done-sets, by job and shard. */
-    const val RECORDS = "mf/r/"
-
     /** Rounds of plans and results, each of many jobs. */
     const val ROUNDS = "mf/p/"
 
@@ -26,20 +23,7 @@
 
     fun final(id: String) = FINAL + id
 
-    fun shard(
-        id: String,
-        shard: Int,
-    ) = "$RECORDS$id/$shard"
-
     fun round(key: String) = ROUNDS + key
 
     fun intent(plea: String) = INTENTS + plea
-
-    /** Job and shard that a record's key names. */
-    fun parseShard(key: String): Pair<String, Int>? {
-        val rest = key.removePrefix(RECORDS)
-        val slash = rest.lastIndexOf('/')
-        if (slash <= 0) return null
-        return rest.substring(0, slash) to (rest.substring(slash + 1).toIntOrNull() ?: return null)
-    }
 }
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -6,7 +6,6 @@
 import mintfield.core.jobs.PlannedGroup
 import mintfield.core.jobs.RoundPart
 import mintfield.core.jobs.RoundRecord
-import mintfield.core.jobs.ShardRecord
 import mintfield.core.jobs.Shards
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.FinalState
@@ -57,17 +56,6 @@
 
     fun parseFinal(data: Map<String, Any?>) = FinalState(if (data.string("stage") == "done") Stage.DONE else Stage.WITHDRAWN, data.long("tasks")?.toInt() ?: 0)
 
-    fun shard(
-        record: ShardRecord,
-        shard: Int,
-    ): ByteArray =
-        Json.obj {
-            if (JobSteps.DONE_SET in JobSteps.recorded) writeStringField("done", Shards.encodeBits(record.done))
-            if (JobSteps.PLAN in JobSteps.recorded) {
-                plans(this, record.plans, shard)
-            }
-        }
-
     private fun plans(
         to: JsonGenerator,
         plans: List<PlannedGroup>,
@@ -131,14 +119,7 @@
         return RoundPart(requireNotNull(part.string("job")) { "no job" }, shard, plans, ranges("done"), ranges("free"))
     }
 
-    /** A record read in part would be a plan forgotten, and its tasks started twice: all of it, or an error. */
-    fun parseShard(
-        data: Map<String, Any?>,
-        shard: Int,
-    ): ShardRecord {
-        return ShardRecord(parsePlans(data["plan"], shard), Shards.decodeBits(requireNotNull(data.string("done")) { "no done-set" }))
-    }
-
+    /** A part read in part would be a plan forgotten, and its tasks started twice: all of it, or an error. */
     private fun parsePlans(
         plans: Any?,
         shard: Int,
