--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -12,7 +12,6 @@
 import mintfield.core.jobs.ReportHandler
 import mintfield.core.jobs.RoundRecord
 import mintfield.core.jobs.Rounds
-import mintfield.core.jobs.Shards
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.MachineType
 import mintfield.core.model.Order
@@ -229,7 +228,9 @@
         nowMs: Long,
     ) {
         val job = cluster.jobs.remove(id) ?: return
-        job.told.keys.toList().forEach { unneeded(job, it, Long.MAX_VALUE) }
+        job.told.keys
+            .toList()
+            .forEach { unneeded(job, it, Long.MAX_VALUE) }
         // A line for each would fill the log of a leader that comes back and finds everything ended.
         if (job.activeAttempts.isNotEmpty()) log("$id is gone from the store, ${job.activeAttempts.size} tasks are left to their workers' reports")
         for (a in job.activeAttempts.toList()) cluster.release(a, nowMs, Cluster.DESCRIBED_ANEW)
@@ -352,7 +353,15 @@
         }
         val urgent = cluster.jobs.values.any { it.spec.shape == Shape.SERVICE && !it.withdrawn && it.waitingCount > 0 }
         val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
-        if (nowMs - lastRoundMs >= if (urgent) Tuning.ROUND_MS else if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
+        if (nowMs - lastRoundMs >=
+            if (urgent) {
+                Tuning.ROUND_MS
+            } else if (scarce) {
+                Tuning.ARRAY_ROUND_BUSY_MS
+            } else {
+                Tuning.ARRAY_ROUND_MS
+            }
+        ) {
             lastRoundMs = nowMs
             round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
         }
--- a/src/main/kotlin/mintfield/core/fleet/Hearing.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Hearing.kt
@@ -82,7 +82,8 @@
         }
         val kept = seasonSinceMs > 0 && nowMs - seasonSinceMs > leaseMs
         if (!answered) return false
-        val started = runs.isEmpty() || report.tasks.any { t -> runs.any { it.index == t.task.index && it.number == t.attempt && it.job.spec.id == t.task.job } }
+        val started =
+            runs.isEmpty() || report.tasks.any { t -> runs.any { it.index == t.task.index && it.number == t.attempt && it.job.spec.id == t.task.job } }
         if (report.termSeen < term || !started) return miss(1, nowMs)
         // That nothing is missed proves something only if there was something to miss, or if its lease goes on.
         return if (runs.isNotEmpty() || report.termSeen > m.termSeen || kept || state == HearingState.DOUBTFUL) heard(nowMs) else false
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -7,7 +7,6 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
-import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 
@@ -57,7 +56,11 @@
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
-            if (job.waitingCount > 0 && !settling(job, nowMs)) planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE)
+            if (job.waitingCount > 0 &&
+                !settling(job, nowMs)
+            ) {
+                planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE)
+            }
         }
         return planned
     }
