--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -73,7 +73,10 @@
         job: Job,
         nowMs: Long,
     ) = nowMs - cluster.replayedAtMs < Tuning.SETTLE_MS &&
-        cluster.machines.values.any { it.state == MachineState.AWAITED && it.hasImage(job.spec.image) && (!it.spot || job.spec.spot) }
+        cluster.machines.values.any { unproven(it) && it.hasImage(job.spec.image) && (!it.spot || job.spec.spot) }
+
+    /** Not heard of since the take-over, or only by what may be a late copy: most likely it will be fit for tasks in a moment. */
+    private fun unproven(m: Machine) = m.state == MachineState.AWAITED || (m.state == MachineState.UP && m.termSeen < m.neededTerm)
 
     /**
      * Whether an array had better wait for room where its image is: a slot that waits for a fetch does no work, and another
