--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -136,6 +136,8 @@
     fun vacate(a: Attempt) {
         if (!attempts.remove(a)) return
         quiet = false
+        // Used until now: reading it makes it the latest.
+        images[a.job.spec.image]
         byState[a.state.ordinal]--
         byImage.computeIfPresent(a.job.spec.image) { _, n -> if (n > 1) n - 1 else null }
         if (a.job.spec.shape == Shape.SERVICE) serviceCpus -= a.job.spec.cpus
@@ -183,7 +185,8 @@
         val oldest = images.entries.iterator()
         while (imagesGb > type.cacheGb && oldest.hasNext()) {
             val entry = oldest.next()
-            if (entry.key == image) continue
+            // What a task here needs is in use, however long ago we heard of it.
+            if (entry.key == image || awaitsImage(entry.key)) continue
             imagesGb -= entry.value
             oldest.remove()
         }
