--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -102,6 +102,9 @@
             }
 
             ReportedState.RUNNING, ReportedState.SAVING -> {
+                if (a.state == AttemptState.PULLING && spec.shape == Shape.SERVICE) {
+                    log("${spec.id}/${a.index} runs on ${a.machine.id} after ${nowMs - a.changedAtMs} ms for its image")
+                }
                 a.machine.imageUsed(spec.image, spec.imageGb)
                 if (a.state == AttemptState.PLANNING) return
                 if (a.state != AttemptState.STOPPING && a.state != AttemptState.RUNNING) {
