--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -123,10 +123,10 @@
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
         val phases = if (spec.priority < Priority.NORMAL) URGENT_PHASES else PLAIN_PHASES
-        for ((worstImage, displacing) in phases) {
+        for (phase in phases) {
             if (!tasks.hasNext()) break
-            val limit = minOf(worstImage, worst)
-            if (displacing) {
+            val limit = minOf(phase.worstImage, worst)
+            if (phase.displacing) {
                 val places = ranked(job, fitting.filter { imageRank(it, spec.image) <= limit })
                 while (tasks.hasNext()) {
                     val m = displace(job, places.filter { zones.allows(it.machine.zone) }, nowMs) ?: break
@@ -140,7 +140,13 @@
                     if (r.image > limit) continue
                     val m = r.machine
                     val margin = margin(m, keep)
-                    while (tasks.hasNext() && m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) && zones.allows(m.zone)) {
+                    val most = if (phase.spreading && spec.shape == Shape.SERVICE) m.type.cpus * Tuning.SPREAD_SHARE else m.type.cpus
+                    while (
+                        tasks.hasNext() &&
+                        m.serviceCpus + spec.cpus <= most &&
+                        m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) &&
+                        zones.allows(m.zone)
+                    ) {
                         plan(job, tasks.next(), number, m, nowMs)
                         zones.placed(m.zone)
                         planned++
@@ -172,6 +178,13 @@
         keep: Double,
     ) = if (m.spot) 0.0 else keep
 
+    /** A try at placing: the worst rank of image allowed, and whether to displace others or to spread replicas. */
+    private class Phase(
+        val worstImage: Int,
+        val displacing: Boolean = false,
+        val spreading: Boolean = false,
+    )
+
     private class Rank(
         val machine: Machine,
         val image: Int,
@@ -273,9 +286,23 @@
         const val FETCHING = 1
         const val ANYWHERE = 2
 
-        /** Phases of placement: the worst rank of image allowed, and whether to displace others. */
-        val PLAIN_PHASES = listOf(2 to false)
-        val URGENT_PHASES = listOf(0 to false, 0 to true, 1 to false, 2 to false, 2 to true)
+        val PLAIN_PHASES = listOf(Phase(ANYWHERE))
+
+        /**
+         * Replicas that must wait for a fetch anyway are spread over machines that replicas fill by half at most, so that
+         * later ones find room, or work to displace, where their image is. Packed on few machines, which they fill, each
+         * later one waited for a fetch of its own.
+         */
+        val URGENT_PHASES =
+            listOf(
+                Phase(THERE),
+                Phase(THERE, displacing = true),
+                Phase(FETCHING, spreading = true),
+                Phase(ANYWHERE, spreading = true),
+                Phase(FETCHING),
+                Phase(ANYWHERE),
+                Phase(ANYWHERE, displacing = true),
+            )
         val DISPLACEABLE = setOf(AttemptState.STARTING, AttemptState.PULLING, AttemptState.RUNNING)
     }
 }
