--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -59,13 +59,24 @@
 
     private val relayedAtMs = HashMap<String, Long>()
 
-    /** Whether a worker whose report was relayed had better come here itself: it did so a moment ago, or may never have tried. */
+    /** Workers whose first report to this leader was relayed. */
+    private val newcomers = HashSet<String>()
+
+    /**
+     * Whether a worker whose report was relayed had better come here itself: it did so a moment ago, or may never have
+     * tried. One that this leader hears for the first time is answered at once, and sent here with its next report: after
+     * a take-over its lease may have used up its time at controllers that did not answer.
+     */
     fun comesDirectly(machine: String): Boolean {
         val now = loop.nowMs()
         val last = relayedAtMs.put(machine, now)
         val m = scheduler.cluster.machines[machine]
-        if (m != null && m.heardAtMs > 0) return now - m.heardAtMs < Tuning.RELAY_AFTER_MS && (last == null || now - last > Tuning.RELAY_AGAIN_MS)
-        return last == null || now - last > Tuning.RELAY_AGAIN_MS
+        if (m == null || m.heardAtMs <= 0) {
+            newcomers.add(machine)
+            return false
+        }
+        if (newcomers.remove(machine)) return true
+        return now - m.heardAtMs < Tuning.RELAY_AFTER_MS && (last == null || now - last > Tuning.RELAY_AGAIN_MS)
     }
 
     private var yieldUntilMs = 0L
