--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -239,8 +239,9 @@
     /** Milliseconds after a take-over for which a task waits for machines that hold its image to report. */
     const val SETTLE_MS = 3_000L
 
-    /** Share of a machine's CPUs that replicas fill while their images must still be fetched; the rest is for later ones. */
-    const val SPREAD_SHARE = 0.5
+    /** Share of a machine's CPUs that replicas fill while others will do. With half of it, a lost machine cost twice the
+     *  replica time, and their images were on fewer machines. */
+    const val SPREAD_SHARE = 0.25
 
     /** CPUs of machines with a job's image, per CPU that its waiting tasks need, from which on it waits for those. */
     const val IMAGE_ROOM = 1.0
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -289,12 +289,12 @@
         val PLAIN_PHASES = listOf(Phase(ANYWHERE))
 
         /**
-         * Replicas that must wait for a fetch anyway are spread over machines that replicas fill by half at most, so that
-         * later ones find room, or work to displace, where their image is. Packed on few machines, which they fill, each
-         * later one waited for a fetch of its own.
+         * Replicas fill a machine to a share only, as long as others will do: packed on the fullest, twenty of them went with
+         * one machine, and their image was on so few machines that each later one waited for a fetch of its own.
          */
         val URGENT_PHASES =
             listOf(
+                Phase(THERE, spreading = true),
                 Phase(THERE),
                 Phase(THERE, displacing = true),
                 Phase(FETCHING, spreading = true),
