--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -76,7 +76,7 @@
             return false
         }
         if (newcomers.remove(machine)) return true
-        return now - m.heardAtMs < Tuning.RELAY_AFTER_MS && (last == null || now - last > Tuning.RELAY_AGAIN_MS)
+        return now - m.heardAtMs < scheduler.cluster.timings.relayAfterMs && (last == null || now - last > Tuning.RELAY_AGAIN_MS)
     }
 
     private var yieldUntilMs = 0L
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import mintfield.core.ReportAnswer
+import mintfield.core.Timings
 import mintfield.core.Tuning
 import mintfield.core.leadership.WorkerRounds
 import mintfield.core.model.Settings
@@ -36,8 +37,8 @@
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, { peers.storeCut() })
-    private val rounds = WorkerRounds()
-    private val reader = WorkerCodec.Reader()
+    private val rounds = WorkerRounds(Timings(settings).sendOnMs)
+    private val reader = WorkerCodec.Reader(settings.maxSockets)
     private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
 
     fun run() {
--- a/src/main/kotlin/mintfield/app/Outside.kt
+++ b/src/main/kotlin/mintfield/app/Outside.kt
@@ -31,6 +31,7 @@
         )
     val metrics = Metrics()
     val types = LinkedHashMap<String, MachineType>()
+    private val maxWorkers = (settings.maxSockets * Tuning.WORKER_SOCKET_SHARE).toInt()
     private val workers = LinkedHashMap<String, HttpClient>(16, 0.75f, true)
 
     suspend fun readTypes() {
@@ -48,7 +49,7 @@
         val parsed = parseAddress(address) ?: return null
         val fresh = HttpClient(loop, group, parsed, maxIdle = 1)
         workers[address] = fresh
-        if (workers.size > MAX_WORKER_CLIENTS) {
+        if (workers.size > maxWorkers) {
             val eldest = workers.entries.iterator().next()
             eldest.value.closeIdle()
             workers.remove(eldest.key)
@@ -61,8 +62,5 @@
 
         /** One node's part of the permitted requests. */
         const val STORE_SHARE = 0.45
-
-        /** Workers whose connections are kept. */
-        const val MAX_WORKER_CLIENTS = 128
     }
 }
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -22,6 +22,7 @@
         var gpus = 0.0
     }
 
+    val timings = Timings(settings)
     var term = firstTerm
     val runTimes = RunTimes()
     val types = LinkedHashMap<String, MachineType>()
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -151,8 +151,7 @@
      * have reported or lost their leases; nothing is planned before.
      */
     fun replayUnreadableRound(nowMs: Long) {
-        val leaseMs = (cluster.settings.leaseS * 1000 * (1 + Tuning.CLOCK_DRIFT)).toLong()
-        cluster.holdUntilMs = nowMs + leaseMs + Tuning.SILENT_RETURN_MS / 2
+        cluster.holdUntilMs = nowMs + cluster.timings.leaseEndedMs + Tuning.SILENT_RETURN_SLACK_MS
     }
 
     /** What cannot be read may plan anything anywhere: the job keeps what it has, and gets nothing new. */
@@ -276,7 +275,7 @@
         for (m in cluster.machines.values) {
             if (calls.size >= most) break
             if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs) continue
-            if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS || m.unansweredTerm >= cluster.term) continue
+            if (nowMs - m.heardAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
             if (m.hearing.state == HearingState.DEAF) {
                 // Each may take its whole time-out; those that have something to start must not wait behind them.
                 if (++probes <= PROBES_AT_ONCE && most > Tuning.MAX_DIRECT_CALLS / 2) probe(m, nowMs)?.let { calls.add(it) }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -14,7 +14,7 @@
     const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
     /** Connections waiting to be accepted; a burst after an outage should not be refused by the kernel. */
-    const val ACCEPT_BACKLOG = 256
+    const val ACCEPT_BACKLOG = 1_024
 
     /** Milliseconds to rest after a failed accept, so that lack of sockets does not become a busy loop. */
     const val ACCEPT_PAUSE_MS = 50L
@@ -129,24 +129,32 @@
 
     // --- Workers ---
 
-    /** Milliseconds without a report after which a machine gets no new tasks. */
+    /** A report comes after `report_s` give or take a quarter (protocol), so after this many times it at the latest. */
+    const val REPORT_SPREAD = 1.25
+
+    /** Milliseconds without a report after which a machine gets no new tasks, at the least. */
     const val FRESH_REPORT_MS = 4_000L
 
+    /** Milliseconds beyond the longest honest interval: a lost packet is sent again after up to a second or two. */
+    const val FRESH_SLACK_MS = 2_500L
+
     /** Milliseconds to wait for the answer to a direct command. */
     const val DIRECT_TIMEOUT_MS = 1_500L
 
     /** Milliseconds without direct commands to a worker that left one unanswered. */
     const val DIRECT_PAUSE_MS = 5_000L
 
-    /** Direct commands under way at once; each needs a socket. */
+    /** Direct commands under way at once, at the least, and as a share of the sockets: each needs one, and when dozens of
+     *  machines hang each holds its place until it times out. */
     const val MAX_DIRECT_CALLS = 32
+    const val DIRECT_SOCKET_SHARE = 0.08
+
+    /** Share of the sockets that may rest in kept connections to workers, so that a command need not open one. */
+    const val WORKER_SOCKET_SHARE = 0.12
 
     /** Milliseconds added before a worker's lease counts as certainly expired. */
     const val WORKER_LEASE_MARGIN_MS = 500L
 
-    /** Machines whose last list of tasks is remembered, so that the same one need not be read again. */
-    const val REMEMBERED_REPORTS = 1_000
-
     /** Answers in a row that a machine must have missed to count as deaf; a single one gets lost now and then. */
     const val DEAF_ANSWERS = 2
 
@@ -236,7 +244,7 @@
      *  start is better off fetching than waiting. */
     const val CROWDED_SHARE = 0.4
 
-    /** Milliseconds after a take-over for which a task waits for machines that hold its image to report. */
+    /** Milliseconds after a take-over for which a task waits for machines that hold its image to report, at the least. */
     const val SETTLE_MS = 3_000L
 
     /** Share of a machine's CPUs that replicas fill while others will do. With half of it, a lost machine cost twice the
@@ -254,15 +262,18 @@
 
     // --- Fleet ---
 
-    /** Milliseconds of silence after which a machine is returned, if its zone is heard otherwise. */
-    const val SILENT_RETURN_MS = 25_000L
+    /** Milliseconds of silence past its lease after which a machine is returned, if its zone is heard otherwise. Machines
+     *  that hang for about their lease are back by then; a dead one costs little meanwhile, as it is replaced at once. */
+    const val SILENT_RETURN_SLACK_MS = 15_000L
 
-    /** Milliseconds after which a machine that a replayed plan names, and that has not reported to the new leader, is
-     *  returned: longer than a worker's lease and than it takes to find a leader. */
-    const val REPLAYED_RETURN_MS = 16_000L
+    /** Milliseconds that a worker may need to find a leader: it tries the controllers in turn, and one that is cut off
+     *  costs it 4 s. */
+    const val FIND_LEADER_MS = 6_000L
 
-    /** The same if the list does not have it either: it is most likely gone, and returning it only proves that. */
+    /** Milliseconds after which a machine that only a plan names is returned: it is most likely gone, and returning it
+     *  only proves that. At the least, and beyond the longest honest interval between reports. */
     const val UNLISTED_RETURN_MS = 5_000L
+    const val UNLISTED_SLACK_MS = 4_000L
 
     /** The same when most of its zone is silent: a cut may end. */
     const val SILENT_ZONE_RETURN_MS = 90_000L
@@ -297,8 +308,13 @@
     /** Share of the permitted cloud calls that the leader uses. */
     const val CLOUD_SHARE = 0.8
 
-    /** Machines asked for in one rental at most; a small answer comes sooner. */
+    /** Machines asked for in one rental, at the least allowed and as a share of those there are: many that fall together
+     *  must not be replaced by eight at a time. */
     const val RENT_AT_ONCE = 8
+    const val RENT_SHARE = 0.125
+
+    /** The protocol's bound on the same. */
+    const val RENT_AT_MOST = 50
 
     /** CPUs wanted per CPU in demand, when no aim speaks of the price. */
     const val HEADROOM = 1.6
@@ -320,18 +336,20 @@
     /** Milliseconds that a report on its way to the leader through a sibling may take; its worker waits 4 s. */
     const val RELAY_TIMEOUT_MS = 1_500L
 
-    /** A worker heard directly within these milliseconds is told to come directly again; others may be relayed. */
+    /** A worker heard directly within these milliseconds, at the least, is told to come directly again. */
     const val RELAY_AFTER_MS = 2_500L
 
+    /** Milliseconds beyond the longest honest interval between reports for the same. */
+    const val RELAY_SLACK_MS = 1_250L
+
     /** Milliseconds within which a second relayed report of an unknown worker shows that it cannot come directly. */
     const val RELAY_AGAIN_MS = 12_000L
 
     /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
     const val ISOLATED_MS = 2_000L
 
-    /** Milliseconds between two times that such a leader sends the same worker away: a round of the controllers takes three
-     *  to six seconds of its ten seconds' lease, and what it learns holds for a while. */
-    const val SEND_ON_MS = 20_000L
+    /** Leases between two times that such a leader sends the same worker away. */
+    const val SEND_ON_LEASES = 2.0
 
     /** Milliseconds for which a sibling's note counts. */
     const val PEER_FRESH_MS = 3_500L
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -214,7 +214,7 @@
         for (m in cluster.machines.values) {
             if (m.heardAtMs == Machine.NEVER && m.attempts.isEmpty()) continue
             byZone.merge(m.zone, 1, Int::plus)
-            if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) silentByZone.merge(m.zone, 1, Int::plus)
+            if (nowMs - m.heardAtMs > cluster.timings.freshReportMs) silentByZone.merge(m.zone, 1, Int::plus)
         }
         val deaf = cluster.machines.values.count { it.state == MachineState.UP && it.hearing.state == HearingState.DEAF }
         // Many at once speak of the network, not of the machines.
@@ -223,7 +223,7 @@
             if (m.state == MachineState.UP) unheard(m, returnDeaf, nowMs)
             when (m.state) {
                 MachineState.AWAITED -> awaited(m, nowMs, (silentByZone[m.zone] ?: 0) > Tuning.SILENT_ZONE_SHARE * (byZone[m.zone] ?: 1))
-                MachineState.UP -> if (nowMs - m.heardAtMs > Tuning.FRESH_REPORT_MS) m.moveTo(MachineState.SILENT, nowMs)
+                MachineState.UP -> if (nowMs - m.heardAtMs > cluster.timings.freshReportMs) m.moveTo(MachineState.SILENT, nowMs)
                 MachineState.SILENT -> silent(m, nowMs, (silentByZone[m.zone] ?: 0) > Tuning.SILENT_ZONE_SHARE * (byZone[m.zone] ?: 1))
                 else -> {}
             }
@@ -261,9 +261,9 @@
         if (m.attempts.isNotEmpty()) {
             val limit =
                 when {
-                    m.guessed -> Tuning.UNLISTED_RETURN_MS
+                    m.guessed -> cluster.timings.unlistedReturnMs
                     zoneSilent -> Tuning.SILENT_ZONE_RETURN_MS
-                    else -> Tuning.REPLAYED_RETURN_MS
+                    else -> cluster.timings.replayedReturnMs
                 }
             if (nowMs - maxOf(m.firstSeenAtMs, startedAtMs) > limit) condemn(m, nowMs, "it was in use and has not reported to this leader")
             return
@@ -278,9 +278,9 @@
         zoneSilent: Boolean,
     ) {
         val taken = m.takenAtMs
-        val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else cluster.settings.operator.silentReturnMs
+        val limit = if (zoneSilent) Tuning.SILENT_ZONE_RETURN_MS else cluster.timings.silentReturnMs
         when {
-            taken != null && nowMs > taken + Tuning.FRESH_REPORT_MS -> condemn(m, nowMs, "its notice has run out and it is silent")
+            taken != null && nowMs > taken + cluster.timings.freshReportMs -> condemn(m, nowMs, "its notice has run out and it is silent")
             nowMs - m.heardAtMs > limit -> condemn(m, nowMs, "silent for ${(nowMs - m.heardAtMs) / 1000} s")
         }
     }
@@ -294,8 +294,7 @@
         nowMs: Long,
     ) {
         if (m.attempts.isEmpty() || m.termSeen < cluster.firstTerm || m.answeredAtMs == Machine.NEVER) return
-        val leaseMs = cluster.settings.leaseS * 1000 * (1 + Tuning.CLOCK_DRIFT) + Tuning.WORKER_LEASE_MARGIN_MS
-        if (nowMs - m.answeredAtMs <= leaseMs) return
+        if (nowMs - m.answeredAtMs <= cluster.timings.leaseEndedMs) return
         for (a in m.attempts.toList()) {
             // Planned in the season that has ended: a start still under way names that season and is refused.
             cluster.release(a, nowMs, "lease expired, silent for ${(nowMs - m.heardAtMs) / 1000} s")
@@ -324,12 +323,14 @@
         if (allShort <= 0 && ordinaryShort <= 0) return returnIdle(nowMs, -allShort)
         idleSince.clear()
         val offer = choose(ordinaryShort > 0, nowMs) ?: return
-        val number = Math.ceil(maxOf(allShort, ordinaryShort) / offer.type.cpus).toInt().coerceIn(1, Tuning.RENT_AT_ONCE)
+        val number = Math.ceil(maxOf(allShort, ordinaryShort) / offer.type.cpus).toInt().coerceIn(1, rentAtOnce())
         val plea = "mf-${cluster.term}-${++pleaNumber}"
         wishes.add(RentIntent(plea, offer.type.name, offer.zone, offer.spot, number))
         log("wishing for $number ${offer.type.name} in ${offer.zone}${if (offer.spot) ", spot" else ""}: short of ${allShort.toInt()} CPUs")
     }
 
+    private fun rentAtOnce() = maxOf(Tuning.RENT_AT_ONCE, (cluster.machines.size * Tuning.RENT_SHARE).toInt()).coerceAtMost(Tuning.RENT_AT_MOST)
+
     private fun choose(
         ordinaryOnly: Boolean,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -1,6 +1,5 @@
 package mintfield.core.fleet
 
-import mintfield.core.Tuning
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.model.MachineType
@@ -198,13 +197,16 @@
     val cachedImages: Map<String, Double> get() = images
 
     /** Whether a task may be planned here now. */
-    fun open(nowMs: Long): Boolean =
+    fun open(
+        nowMs: Long,
+        freshMs: Long,
+    ): Boolean =
         state == MachineState.UP &&
             takenAtMs == null &&
             termSeen >= neededTerm &&
             hearing.sure &&
             nowMs >= avoidUntilMs &&
-            nowMs - heardAtMs < Tuning.FRESH_REPORT_MS
+            nowMs - heardAtMs < freshMs
 
     companion object {
         const val NEVER = Long.MIN_VALUE / 4
--- a/src/main/kotlin/mintfield/core/leadership/WorkerRounds.kt
+++ b/src/main/kotlin/mintfield/core/leadership/WorkerRounds.kt
@@ -1,12 +1,12 @@
 package mintfield.core.leadership
 
-import mintfield.core.Tuning
-
 /**
  * Lets workers find out what an isolated leader cannot: whether there is another. Each is sent on once; one that finds a
  * new leader stays there, and one that comes back has found none, so that its lease hangs on us alone and is renewed.
  */
-class WorkerRounds {
+class WorkerRounds(
+    private val sendOnMs: Long,
+) {
     private val sentOnAtMs = HashMap<String, Long>()
 
     /** Whether the worker of [machine] is to look elsewhere now. */
@@ -15,7 +15,7 @@
         nowMs: Long,
     ): Boolean {
         val last = sentOnAtMs[machine]
-        if (last != null && nowMs - last < Tuning.SEND_ON_MS) return false
+        if (last != null && nowMs - last < sendOnMs) return false
         sentOnAtMs[machine] = nowMs
         return true
     }
--- a/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
+++ b/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
@@ -8,7 +8,8 @@
     val leaderLeaseMs: Long = Tuning.LEADER_LEASE_MS,
     val headroom: Double = Tuning.HEADROOM,
     val idleReturnMs: Long = Tuning.IDLE_RETURN_MS,
-    val silentReturnMs: Long = Tuning.SILENT_RETURN_MS,
+    /** Null: what follows from the workers' lease. */
+    val silentReturnMs: Long? = null,
 )
 
 enum class LogFormat { PLAIN, JSON }
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -25,7 +25,7 @@
     ): Int {
         val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
         if (waiting.isEmpty() || nowMs < cluster.holdUntilMs) return 0
-        val open = cluster.machines.values.filter { it.open(nowMs) }
+        val open = cluster.machines.values.filter { it.open(nowMs, cluster.timings.freshReportMs) }
         if (open.isEmpty()) return 0
         val number = cluster.attemptNumber()
         val reserve = replicaReserve()
@@ -72,7 +72,7 @@
     private fun settling(
         job: Job,
         nowMs: Long,
-    ) = nowMs - cluster.replayedAtMs < Tuning.SETTLE_MS &&
+    ) = nowMs - cluster.replayedAtMs < cluster.timings.settleMs &&
         cluster.machines.values.any { unproven(it) && it.hasImage(job.spec.image) && (!it.spot || job.spec.spot) }
 
     /** Not heard of since the take-over, or only by what may be a late copy: most likely it will be fit for tasks in a moment. */
--- a/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
@@ -35,7 +35,7 @@
                 leaderLeaseMs = number(tuning, "leader_lease_ms", 1_000.0, 600_000.0, defaults.leaderLeaseMs.toDouble()).toLong(),
                 headroom = number(tuning, "headroom", 1.0, 10.0, defaults.headroom),
                 idleReturnMs = number(tuning, "idle_return_ms", 1_000.0, 86_400_000.0, defaults.idleReturnMs.toDouble()).toLong(),
-                silentReturnMs = number(tuning, "silent_return_ms", 12_000.0, 3_600_000.0, defaults.silentReturnMs.toDouble()).toLong(),
+                silentReturnMs = tuning["silent_return_ms"]?.let { number(tuning, "silent_return_ms", 12_000.0, 3_600_000.0, 0.0).toLong() },
             )
         }
 
--- a/src/main/kotlin/mintfield/io/worker/WorkerCodec.kt
+++ b/src/main/kotlin/mintfield/io/worker/WorkerCodec.kt
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.JsonToken
-import mintfield.core.Tuning
 import mintfield.core.model.EndCause
 import mintfield.core.model.Order
 import mintfield.core.model.Report
@@ -32,10 +31,13 @@
      * Reads reports, and remembers each machine's last list of tasks: most reports bring the same one again, to the
      * byte, and then it is neither parsed nor, being the same object, looked at again.
      */
-    class Reader {
+    class Reader(
+        /** Machines remembered: at least as many as can report here. */
+        private val most: Int,
+    ) {
         private val said =
             object : LinkedHashMap<String, Said>(64, 0.75f, true) {
-                override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Said>) = size > Tuning.REMEMBERED_REPORTS
+                override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Said>) = size > most
             }
 
         fun report(bytes: ByteArray): Report? = parse(bytes, said)
