--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -224,6 +224,24 @@
     /** Share of the CPUs that such jobs have together, the most that is given away from jobs that can still meet an aim. */
     const val OLD_SHARE = 0.05
 
+    /** Share of an aim from which on missing it counts as a failure: few jobs may miss it, so each of them weighs more than
+     *  one that misses a softer aim. */
+    const val STRICT_SHARE = 0.98
+
+    /** Milliseconds before a job must start at the latest, to meet its next strict aim, from which on it goes ahead. */
+    const val PRESSING_MS = 15_000L
+
+    /** Share of the CPUs that such a job is taken to get once it is ahead. */
+    const val PRESSING_SHARE = 0.5
+
+    /** Times the expected run time that its last task is taken to need. */
+    const val PRESSING_RUN = 1.5
+
+    /** Free CPUs that arrays leave to new replicas: room for this many of the largest, or this share of the CPUs that
+     *  replicas hold. One on each machine was 400 of 7,900 CPUs on the fleet of the print bureau. */
+    const val RESERVE_REPLICAS = 32
+    const val RESERVE_SHARE = 0.05
+
     /** Milliseconds between looks at timers of the core: silence, leases, rentals. */
     const val TICK_MS = 250L
 
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/placement/ReplicaReserve.kt
@@ -0,0 +1,51 @@
+package mintfield.core.placement
+
+import mintfield.core.Cluster
+import mintfield.core.Tuning
+import mintfield.core.fleet.Machine
+import mintfield.core.model.Shape
+
+/**
+ * Room on ordinary machines that arrays leave to new replicas, so that those need not displace anything. What must stay
+ * free follows from how many replicas come and go, not from the number of machines: kept on each of hundreds, it left a
+ * twentieth of the fleet idle while thousands of tasks waited.
+ */
+class ReplicaReserve(
+    cluster: Cluster,
+    open: List<Machine>,
+) {
+    /** CPUs of the largest replica; 0 if there is no service. */
+    private val each: Double
+    private val wanted: Double
+    private var free = 0.0
+
+    init {
+        var most = 0.0
+        var held = 0.0
+        for (job in cluster.jobs.values) if (job.spec.shape == Shape.SERVICE) most = maxOf(most, job.spec.cpus)
+        for (m in open) held += m.serviceCpus
+        each = most
+        wanted = maxOf(most * Tuning.RESERVE_REPLICAS, held * Tuning.RESERVE_SHARE)
+        for (m in open) free += roomOn(m, 0.0)
+    }
+
+    private fun roomOn(
+        m: Machine,
+        less: Double,
+    ): Double = if (m.spot || each <= 0) 0.0 else maxOf(0.0, Math.floor((m.freeCpus - less) / each + EPSILON)) * each
+
+    /** CPUs that a task of an array must leave free on [m]. */
+    fun margin(m: Machine): Double = if (m.spot || free > wanted) 0.0 else each
+
+    /** A task of [cpus] is about to be planned on [m]. */
+    fun taken(
+        m: Machine,
+        cpus: Double,
+    ) {
+        free -= roomOn(m, 0.0) - roomOn(m, cpus)
+    }
+
+    private companion object {
+        const val EPSILON = 1e-6
+    }
+}
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -28,7 +28,7 @@
         val open = cluster.machines.values.filter { it.open(nowMs, cluster.timings.freshReportMs) }
         if (open.isEmpty()) return 0
         val number = cluster.attemptNumber()
-        val reserve = replicaReserve()
+        val reserve = ReplicaReserve(cluster, open)
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
         val turns = Turns(cluster, waiting, wallMs)
@@ -93,18 +93,11 @@
         return cpus >= job.waitingCount * spec.cpus * Tuning.IMAGE_ROOM
     }
 
-    /** CPUs that arrays leave free on every ordinary machine, so that a new replica need not wait. */
-    private fun replicaReserve(): Double {
-        var most = 0.0
-        for (job in cluster.jobs.values) if (job.spec.shape == Shape.SERVICE) most = maxOf(most, job.spec.cpus)
-        return most
-    }
-
     private fun place(
         job: Job,
         open: List<Machine>,
         number: Long,
-        reserve: Double,
+        reserve: ReplicaReserve,
         nowMs: Long,
         most: Int,
         worst: Int,
@@ -115,10 +108,10 @@
         // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
-        val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
+        val isArray = spec.shape == Shape.ARRAY
         val fitting = open.filter { fits(job, it, open.size) && zones.allows(it.zone) }
         if (spec.shape == Shape.GANG && fitting.sumOf { roomFor(spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } < job.waitingCount) return 0
-        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, keep), spec.gpus, spec.memoryGb) })
+        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, isArray, reserve), spec.gpus, spec.memoryGb) })
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
@@ -139,14 +132,14 @@
                     if (!tasks.hasNext()) break
                     if (r.image > limit) continue
                     val m = r.machine
-                    val margin = margin(m, keep)
                     val most = if (phase.spreading && spec.shape == Shape.SERVICE) m.type.cpus * Tuning.SPREAD_SHARE else m.type.cpus
                     while (
                         tasks.hasNext() &&
                         m.serviceCpus + spec.cpus <= most &&
-                        m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) &&
+                        m.holds(spec.cpus + margin(m, isArray, reserve), spec.gpus, spec.memoryGb) &&
                         zones.allows(m.zone)
                     ) {
+                        reserve.taken(m, spec.cpus)
                         plan(job, tasks.next(), number, m, nowMs)
                         zones.placed(m.zone)
                         planned++
@@ -175,8 +168,9 @@
 
     private fun margin(
         m: Machine,
-        keep: Double,
-    ) = if (m.spot) 0.0 else keep
+        isArray: Boolean,
+        reserve: ReplicaReserve,
+    ) = if (isArray) reserve.margin(m) else 0.0
 
     /** A try at placing: the worst rank of image allowed, and whether to displace others or to spread replicas. */
     private class Phase(
--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -1,8 +1,11 @@
 package mintfield.core.placement
 
 import mintfield.core.Cluster
+import mintfield.core.Tuning
 import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.Job
+import mintfield.core.model.JobSpec
+import mintfield.core.model.Objective
 import mintfield.core.model.Shape
 import java.util.PriorityQueue
 
@@ -13,19 +16,17 @@
 class Urgency(
     private val cluster: Cluster,
 ) {
-    private val finishAims =
+    private val aims =
         cluster.settings.objectives
-            .filter { it.kind == "finished" && it.jobClass != null && it.withinS != null }
-            .groupBy({ it.jobClass!! }, { it.withinS!! })
-    private val deadlineAims =
-        cluster.settings.objectives
-            .filter { it.kind == "deadline" && it.jobClass != null }
-            .groupBy({ it.jobClass!! }, { it.times ?: 1.0 })
+            .filter { it.kind in AIMS && it.jobClass != null }
+            .groupBy { it.jobClass!! }
 
     private class Claim(
         val job: Job,
         /** When it should be done, time of day in milliseconds; ascending, the passed ones left out. */
         val dues: List<Double>,
+        /** The first of them that hardly any job may miss. */
+        val strictDue: Double?,
         val workS: Double,
         val leastS: Double,
     )
@@ -66,6 +67,9 @@
      * the aims that come next, then for the later ones of those put off. What can be met is served in the order of
      * work times time left: with the earliest aim first every job would end just in time, and one wrong estimate make all
      * after it late; with the least work first alone, large jobs miss aims that they could have met.
+     *
+     * What is put off so would be put off again and again while demand stays high, until it has missed even the aims that
+     * hardly any job may miss. So a job that must start now to meet its next strict aim goes before all others.
      */
     private fun byAims(
         jobs: List<Job>,
@@ -73,31 +77,59 @@
     ): List<Job> {
         if (jobs.size < 2) return jobs
         val capacity = maxOf(1.0, arrayCapacity())
-        var open = jobs.map { claim(it, wallMs) }
+        val (pressing, rest) = jobs.map { claim(it, wallMs) }.partition { presses(it, capacity, wallMs) }
+        val (first, late) = feasible(pressing, 0.0, capacity, wallMs) { it.strictDue!! }
         val chosen = ArrayList<Job>()
-        var loadS = 0.0
+        first.sortedWith(compareBy({ it.strictDue }, { it.job.spec.id })).mapTo(chosen) { it.job }
+        var open = rest + late
+        var loadS = first.sumOf { it.workS }
         var level = 0
         while (open.any { it.dues.size > level } && level < MAX_LEVELS) {
             val (with, without) = open.partition { it.dues.size > level }
-            val accepted = PriorityQueue<Claim>(compareByDescending { it.workS })
-            val putOff = ArrayList<Claim>()
-            for (c in with.sortedWith(compareBy({ it.dues[level] }, { it.job.spec.id }))) {
-                accepted.add(c)
-                loadS += c.workS
-                val endsMs = wallMs + maxOf(loadS / capacity, c.leastS) * 1000
-                if (endsMs > c.dues[level]) {
-                    val off = if (wallMs + c.leastS * 1000 > c.dues[level]) c.also { accepted.remove(it) } else accepted.poll()
-                    loadS -= off.workS
-                    putOff.add(off)
-                }
-            }
-            chosen.addAll(accepted.sortedWith(compareBy<Claim> { it.workS * (it.dues[level] - wallMs) }.thenBy { it.job.spec.id }).map { it.job })
+            val at = level
+            val (accepted, putOff) = feasible(with, loadS, capacity, wallMs) { it.dues[at] }
+            loadS += accepted.sumOf { it.workS }
+            chosen.addAll(accepted.sortedWith(compareBy<Claim> { it.workS * (it.dues[at] - wallMs) }.thenBy { it.job.spec.id }).map { it.job })
             open = putOff + without
             level++
         }
         return chosen + open.sortedWith(LEAST_WORK).map { it.job }
     }
 
+    /** As many of [claims] as can be done by their [due] after work of [loadS], and those put off. */
+    private inline fun feasible(
+        claims: List<Claim>,
+        loadS: Double,
+        capacity: Double,
+        wallMs: Long,
+        crossinline due: (Claim) -> Double,
+    ): Pair<Collection<Claim>, List<Claim>> {
+        val accepted = PriorityQueue<Claim>(compareByDescending { it.workS })
+        val putOff = ArrayList<Claim>()
+        var sumS = loadS
+        for (c in claims.sortedWith(compareBy({ due(it) }, { it.job.spec.id }))) {
+            accepted.add(c)
+            sumS += c.workS
+            val endsMs = wallMs + maxOf(sumS / capacity, c.leastS) * 1000
+            if (endsMs > due(c)) {
+                val off = if (wallMs + c.leastS * 1000 > due(c)) c.also { accepted.remove(it) } else accepted.poll()
+                sumS -= off.workS
+                putOff.add(off)
+            }
+        }
+        return accepted to putOff
+    }
+
+    private fun presses(
+        c: Claim,
+        capacity: Double,
+        wallMs: Long,
+    ): Boolean {
+        val due = c.strictDue ?: return false
+        val needMs = (c.leastS * Tuning.PRESSING_RUN + c.workS / (capacity * Tuning.PRESSING_SHARE)) * 1000
+        return wallMs + needMs + Tuning.PRESSING_MS > due
+    }
+
     /** CPUs of the machines that report, less those of replicas. */
     fun arrayCapacity(): Double {
         var cpus = 0.0
@@ -114,24 +146,46 @@
     ): Claim {
         val spec = job.spec
         val expected = cluster.runTimes.expectedS(job)
-        val dues = ArrayList<Double>(2)
-        finishAims[spec.jobClass]?.forEach { dues.add(job.acceptedAtMs + it * 1000) }
-        spec.deadlineS?.let { d -> (deadlineAims[spec.jobClass] ?: listOf(1.0)).forEach { dues.add(job.acceptedAtMs + d * it * 1000) } }
-        if (dues.isEmpty()) dues.add(job.acceptedAtMs + DEFAULT_DUE_MS + expected * 1000)
-        dues.removeAll { it < wallMs + expected * 1000 }
+        val least = wallMs + expected * 1000
+        val dues = ArrayList<Double>(4)
+        var strict: Double? = null
+        for (aim in aims[spec.jobClass].orEmpty()) {
+            val due = job.acceptedAtMs + (dueS(aim, spec, expected) ?: continue) * 1000
+            if (due < least) continue
+            dues.add(due)
+            if ((aim.share ?: 0.0) >= Tuning.STRICT_SHARE && (strict == null || due < strict)) strict = due
+        }
+        val own = if (aims[spec.jobClass].orEmpty().any { it.kind == "deadline" }) null else spec.deadlineS
+        val other = own ?: if (spec.jobClass in aims) null else DEFAULT_DUE_S + expected
+        other?.let { job.acceptedAtMs + it * 1000 }?.takeIf { it >= least }?.let { dues.add(it) }
         dues.sort()
         val left = spec.tasks - job.doneTasks - job.activeAttempts.size / 2.0
-        return Claim(job, dues, left * spec.cpus * expected, expected)
+        return Claim(job, dues, strict, left * spec.cpus * expected, expected)
     }
 
+    /** Seconds from its acceptance in which a job of [spec] must be done to meet [aim]; its last task starts a run before. */
+    private fun dueS(
+        aim: Objective,
+        spec: JobSpec,
+        expectedS: Double,
+    ): Double? =
+        when (aim.kind) {
+            "finished" -> aim.withinS
+            "deadline" -> spec.deadlineS?.let { it * (aim.times ?: 1.0) }
+            "wait" -> aim.withinS?.let { it + expectedS }
+            else -> null
+        }
+
     private companion object {
         val LEAST_WORK = compareBy<Claim> { it.workS }.thenBy { it.job.spec.id }
 
-        /** Milliseconds; jobs without an aim of their own are ordered as if they had this one. */
-        const val DEFAULT_DUE_MS = 120_000.0
+        val AIMS = setOf("finished", "deadline", "wait")
+
+        /** Seconds; jobs without an aim of their own are ordered as if they had this one. */
+        const val DEFAULT_DUE_S = 120.0
         const val EPSILON = 1e-6
 
         /** Aims one class may have before the later ones are not looked at. */
-        const val MAX_LEVELS = 4
+        const val MAX_LEVELS = 5
     }
 }
