--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -276,6 +276,9 @@
     /** CPUs of machines with a job's image, per CPU that its waiting tasks need, from which on it waits for those. */
     const val IMAGE_ROOM = 1.0
 
+    /** Seconds of fetching that are worth having whatever the wait elsewhere: finding out of a free slot takes as long. */
+    const val FETCH_SLACK_S = 1.0
+
     /** Weight of a job's first measured task in its class's ratio of truth to estimate; later tasks of it weigh less. */
     const val RATIO_WEIGHT = 0.3
 
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -77,6 +77,9 @@
     private val byState = IntArray(AttemptState.entries.size)
     private val byImage = HashMap<String, Int>()
 
+    /** Images that tasks here wait for, with their sizes. */
+    private val fetching = HashMap<String, Double>()
+
     /** CPUs that replicas of services occupy here. */
     var serviceCpus = 0.0
         private set
@@ -126,6 +129,7 @@
         quiet = false
         byState[a.state.ordinal]++
         byImage.merge(a.job.spec.image, 1, Int::plus)
+        if (!hasImage(a.job.spec.image)) fetching[a.job.spec.image] = a.job.spec.imageGb
         if (a.job.spec.shape == Shape.SERVICE) serviceCpus += a.job.spec.cpus
         cpus += a.job.spec.cpus
         gpus += a.job.spec.gpus
@@ -139,6 +143,7 @@
         images[a.job.spec.image]
         byState[a.state.ordinal]--
         byImage.computeIfPresent(a.job.spec.image) { _, n -> if (n > 1) n - 1 else null }
+        if (!awaitsImage(a.job.spec.image)) fetching.remove(a.job.spec.image)
         if (a.job.spec.shape == Shape.SERVICE) serviceCpus -= a.job.spec.cpus
         if (attempts.isEmpty()) {
             serviceCpus = 0.0
@@ -180,6 +185,7 @@
     ) {
         if (images.get(image) != null) return
         images[image] = gb
+        fetching.remove(image)
         imagesGb += gb
         val oldest = images.entries.iterator()
         while (imagesGb > type.cacheGb && oldest.hasNext()) {
@@ -193,6 +199,16 @@
 
     fun hasImage(image: String) = images.containsKey(image)
 
+    /** Seconds until [image] is here, if all fetches of this machine share its rate. */
+    fun fetchS(
+        image: String,
+        gb: Double,
+    ): Double {
+        if (hasImage(image)) return 0.0
+        val gbBefore = fetching.values.sum() + if (image in fetching) 0.0 else gb
+        return gbBefore / maxOf(type.fetchGbPerS, 1e-6)
+    }
+
     /** Images on the machine with their sizes, the least recently used first. */
     val cachedImages: Map<String, Double> get() = images
 
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
@@ -0,0 +1,55 @@
+package mintfield.core.placement
+
+import mintfield.core.Cluster
+import mintfield.core.Tuning
+import mintfield.core.fleet.Machine
+import mintfield.core.jobs.Job
+import mintfield.core.model.JobSpec
+import mintfield.core.model.Shape
+
+/**
+ * Whether a task had better wait for room where its image is than take room where it must be fetched first. Fetches of one
+ * machine may share its rate, so tasks of many images that all take the first free room wait for minutes, and hold the room
+ * meanwhile from others whose image is there.
+ */
+class ImageRoom(
+    private val cluster: Cluster,
+    private val open: List<Machine>,
+    private val waiting: List<Job>,
+    arrayCpus: Double,
+) {
+    private class Holders(
+        val cpus: Double,
+        /** CPU seconds that wait for this image. */
+        val waitingS: Double,
+    )
+
+    private val holders = HashMap<Pair<String, Boolean>, Holders>()
+    private val arrays = waiting.filter { it.spec.shape == Shape.ARRAY }
+
+    /** Seconds in which all that waits would have begun, if every slot were fit for it. */
+    private val backlogS = arrays.sumOf { waitingS(it) } / maxOf(1.0, arrayCpus)
+
+    private fun waitingS(job: Job) = job.waitingCount * job.spec.cpus * cluster.runTimes.expectedS(job)
+
+    private fun holders(spec: JobSpec): Holders =
+        holders.getOrPut(spec.image to spec.spot) {
+            var cpus = 0.0
+            for (m in open) if (m.hasImage(spec.image) && (!m.spot || spec.spot)) cpus += m.type.cpus - m.serviceCpus
+            Holders(cpus, arrays.sumOf { if (it.spec.image == spec.image) waitingS(it) else 0.0 })
+        }
+
+    /** Whether the machines with the image of an array hold enough for all that it has waiting. */
+    fun enough(job: Job): Boolean = job.spec.shape == Shape.ARRAY && holders(job.spec).cpus >= job.waitingCount * job.spec.cpus * Tuning.IMAGE_ROOM
+
+    /**
+     * Seconds of fetching that a task of [job] may be given: no more than it would wait for room where its image is, or for
+     * any room at all. Replicas take what comes first.
+     */
+    fun patienceS(job: Job): Double {
+        if (job.spec.shape != Shape.ARRAY) return Double.MAX_VALUE
+        val h = holders(job.spec)
+        if (h.cpus <= 0) return Double.MAX_VALUE
+        return maxOf(backlogS, h.waitingS / h.cpus) + Tuning.FETCH_SLACK_S
+    }
+}
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -32,34 +32,27 @@
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
         val turns = Turns(cluster, waiting, wallMs)
-        for ((job, tasks) in turns.first(urgency.arrayCapacity())) {
+        val arrayCpus = urgency.arrayCapacity()
+        val images = ImageRoom(cluster, open, waiting, arrayCpus)
+        for ((job, tasks) in turns.first(arrayCpus)) {
             if (planned >= most) break
-            planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE)
+            planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE, Double.MAX_VALUE)
         }
         val setAside = turns.setAside(open)
         val patient = ArrayList<Job>()
         val crowded = waiting.sumOf { it.waitingCount * it.spec.cpus } > open.sumOf { it.type.cpus } * Tuning.CROWDED_SHARE
         for (job in order) {
             if (planned >= most) break
-            val waits = crowded && imageElsewhere(job, open)
+            val waits = crowded && images.enough(job)
             if (waits) patient.add(job)
-            val worst =
-                if (settling(job, nowMs)) {
-                    THERE
-                } else if (waits) {
-                    FETCHING
-                } else {
-                    ANYWHERE
-                }
-            planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, worst)
+            val worst = if (waits || settling(job, nowMs)) THERE else ANYWHERE
+            planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, worst, images.patienceS(job))
         }
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
-            if (job.waitingCount > 0 &&
-                !settling(job, nowMs)
-            ) {
-                planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE)
+            if (job.waitingCount > 0 && !settling(job, nowMs)) {
+                planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE, images.patienceS(job))
             }
         }
         return planned
@@ -78,21 +71,6 @@
     /** Not heard of since the take-over, or only by what may be a late copy: most likely it will be fit for tasks in a moment. */
     private fun unproven(m: Machine) = m.state == MachineState.AWAITED || (m.state == MachineState.UP && m.termSeen < m.neededTerm)
 
-    /**
-     * Whether an array had better wait for room where its image is: a slot that waits for a fetch does no work, and another
-     * job may have its image there.
-     */
-    private fun imageElsewhere(
-        job: Job,
-        open: List<Machine>,
-    ): Boolean {
-        val spec = job.spec
-        if (spec.shape != Shape.ARRAY) return false
-        var cpus = 0.0
-        for (m in open) if (m.hasImage(spec.image) && (!m.spot || spec.spot)) cpus += m.type.cpus
-        return cpus >= job.waitingCount * spec.cpus * Tuning.IMAGE_ROOM
-    }
-
     private fun place(
         job: Job,
         open: List<Machine>,
@@ -101,6 +79,7 @@
         nowMs: Long,
         most: Int,
         worst: Int,
+        patienceS: Double,
     ): Int {
         val spec = job.spec
         val allowed = minOf(most, cluster.allowance(spec))
@@ -132,6 +111,7 @@
                     if (!tasks.hasNext()) break
                     if (r.image > limit) continue
                     val m = r.machine
+                    if (r.image != THERE && m.fetchS(spec.image, spec.imageGb) > patienceS) continue
                     val most = if (phase.spreading && spec.shape == Shape.SERVICE) m.type.cpus * Tuning.SPREAD_SHARE else m.type.cpus
                     while (
                         tasks.hasNext() &&
@@ -182,16 +162,20 @@
     private class Rank(
         val machine: Machine,
         val image: Int,
+        val fetchS: Int,
         val kind: Int,
     )
 
-    /** Where the image is, then spot machines for those who may use them, then the fullest. Each key is worked out once. */
+    /**
+     * Where the image is or comes first, then spot machines for those who may use them, then the fullest. Each key is worked
+     * out once.
+     */
     private fun ranked(
         job: Job,
         machines: List<Machine>,
     ): List<Rank> =
         machines
-            .map { Rank(it, imageRank(it, job.spec.image), if (job.spec.spot && !it.spot) 1 else 0) }
+            .map { Rank(it, imageRank(it, job.spec.image), it.fetchS(job.spec.image, job.spec.imageGb).toInt(), if (job.spec.spot && !it.spot) 1 else 0) }
             .sortedWith(BEST_FIRST)
 
     private fun imageRank(
@@ -267,7 +251,8 @@
 
     private companion object {
         val BEST_FIRST =
-            compareBy<Rank> { it.image }
+            compareBy<Rank> { it.fetchS }
+                .thenBy { it.image }
                 .thenBy { it.kind }
                 .thenBy { it.machine.freeCpus }
                 .thenBy { it.machine.id }
