--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -25,41 +25,34 @@
     ): Int {
         val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
         if (waiting.isEmpty() || nowMs < cluster.holdUntilMs) return 0
-        val open = cluster.machines.values.filter { it.open(nowMs) }
+        val open = cluster.machines.values.filter { it.open(nowMs, cluster.timings.freshReportMs) }
         if (open.isEmpty()) return 0
         val number = cluster.attemptNumber()
-        val reserve = replicaReserve()
+        val reserve = ReplicaReserve(cluster, open)
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
         val turns = Turns(cluster, waiting, wallMs)
-        for ((job, tasks) in turns.first(urgency.arrayCapacity())) {
+        val arrayCpus = urgency.arrayCapacity()
+        val images = ImageRoom(cluster, open, waiting, arrayCpus)
+        for ((job, tasks) in turns.first(arrayCpus)) {
             if (planned >= most) break
-            planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE)
+            planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE, Double.MAX_VALUE)
         }
         val setAside = turns.setAside(open)
         val patient = ArrayList<Job>()
         val crowded = waiting.sumOf { it.waitingCount * it.spec.cpus } > open.sumOf { it.type.cpus } * Tuning.CROWDED_SHARE
         for (job in order) {
             if (planned >= most) break
-            val waits = crowded && imageElsewhere(job, open)
+            val waits = crowded && images.enough(job)
             if (waits) patient.add(job)
-            val worst =
-                if (settling(job, nowMs)) {
-                    THERE
-                } else if (waits) {
-                    FETCHING
-                } else {
-                    ANYWHERE
-                }
-            planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, worst)
+            val worst = if (waits || settling(job, nowMs)) THERE else ANYWHERE
+            planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, worst, images.patienceS(job))
         }
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
-            if (job.waitingCount > 0 &&
-                !settling(job, nowMs)
-            ) {
-                planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE)
+            if (job.waitingCount > 0 && !settling(job, nowMs)) {
+                planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE, images.patienceS(job))
             }
         }
         return planned
@@ -72,42 +65,21 @@
     private fun settling(
         job: Job,
         nowMs: Long,
-    ) = nowMs - cluster.replayedAtMs < Tuning.SETTLE_MS &&
+    ) = nowMs - cluster.replayedAtMs < cluster.timings.settleMs &&
         cluster.machines.values.any { unproven(it) && it.hasImage(job.spec.image) && (!it.spot || job.spec.spot) }
 
     /** Not heard of since the take-over, or only by what may be a late copy: most likely it will be fit for tasks in a moment. */
     private fun unproven(m: Machine) = m.state == MachineState.AWAITED || (m.state == MachineState.UP && m.termSeen < m.neededTerm)
 
-    /**
-     * Whether an array had better wait for room where its image is: a slot that waits for a fetch does no work, and another
-     * job may have its image there.
-     */
-    private fun imageElsewhere(
-        job: Job,
-        open: List<Machine>,
-    ): Boolean {
-        val spec = job.spec
-        if (spec.shape != Shape.ARRAY) return false
-        var cpus = 0.0
-        for (m in open) if (m.hasImage(spec.image) && (!m.spot || spec.spot)) cpus += m.type.cpus
-        return cpus >= job.waitingCount * spec.cpus * Tuning.IMAGE_ROOM
-    }
-
-    /** CPUs that arrays leave free on every ordinary machine, so that a new replica need not wait. */
-    private fun replicaReserve(): Double {
-        var most = 0.0
-        for (job in cluster.jobs.values) if (job.spec.shape == Shape.SERVICE) most = maxOf(most, job.spec.cpus)
-        return most
-    }
-
     private fun place(
         job: Job,
         open: List<Machine>,
         number: Long,
-        reserve: Double,
+        reserve: ReplicaReserve,
         nowMs: Long,
         most: Int,
         worst: Int,
+        patienceS: Double,
     ): Int {
         val spec = job.spec
         val allowed = minOf(most, cluster.allowance(spec))
@@ -115,10 +87,10 @@
         // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
-        val keep = if (spec.shape == Shape.ARRAY) reserve else 0.0
+        val isArray = spec.shape == Shape.ARRAY
         val fitting = open.filter { fits(job, it, open.size) && zones.allows(it.zone) }
         if (spec.shape == Shape.GANG && fitting.sumOf { roomFor(spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } < job.waitingCount) return 0
-        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, keep), spec.gpus, spec.memoryGb) })
+        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, isArray, reserve), spec.gpus, spec.memoryGb) })
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
@@ -139,14 +111,15 @@
                     if (!tasks.hasNext()) break
                     if (r.image > limit) continue
                     val m = r.machine
-                    val margin = margin(m, keep)
+                    if (r.image != THERE && m.fetchS(spec.image, spec.imageGb) > patienceS) continue
                     val most = if (phase.spreading && spec.shape == Shape.SERVICE) m.type.cpus * Tuning.SPREAD_SHARE else m.type.cpus
                     while (
                         tasks.hasNext() &&
                         m.serviceCpus + spec.cpus <= most &&
-                        m.holds(spec.cpus + margin, spec.gpus, spec.memoryGb) &&
+                        m.holds(spec.cpus + margin(m, isArray, reserve), spec.gpus, spec.memoryGb) &&
                         zones.allows(m.zone)
                     ) {
+                        reserve.taken(m, spec.cpus)
                         plan(job, tasks.next(), number, m, nowMs)
                         zones.placed(m.zone)
                         planned++
@@ -175,8 +148,9 @@
 
     private fun margin(
         m: Machine,
-        keep: Double,
-    ) = if (m.spot) 0.0 else keep
+        isArray: Boolean,
+        reserve: ReplicaReserve,
+    ) = if (isArray) reserve.margin(m) else 0.0
 
     /** A try at placing: the worst rank of image allowed, and whether to displace others or to spread replicas. */
     private class Phase(
@@ -188,16 +162,20 @@
     private class Rank(
         val machine: Machine,
         val image: Int,
+        val fetchS: Int,
         val kind: Int,
     )
 
-    /** Where the image is, then spot machines for those who may use them, then the fullest. Each key is worked out once. */
+    /**
+     * Where the image is or comes first, then spot machines for those who may use them, then the fullest. Each key is worked
+     * out once.
+     */
     private fun ranked(
         job: Job,
         machines: List<Machine>,
     ): List<Rank> =
         machines
-            .map { Rank(it, imageRank(it, job.spec.image), if (job.spec.spot && !it.spot) 1 else 0) }
+            .map { Rank(it, imageRank(it, job.spec.image), it.fetchS(job.spec.image, job.spec.imageGb).toInt(), if (job.spec.spot && !it.spot) 1 else 0) }
             .sortedWith(BEST_FIRST)
 
     private fun imageRank(
@@ -273,7 +251,8 @@
 
     private companion object {
         val BEST_FIRST =
-            compareBy<Rank> { it.image }
+            compareBy<Rank> { it.fetchS }
+                .thenBy { it.image }
                 .thenBy { it.kind }
                 .thenBy { it.machine.freeCpus }
                 .thenBy { it.machine.id }
