--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -13,6 +13,7 @@
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
 import mintfield.core.Write
+import mintfield.core.leadership.Keeping
 import mintfield.core.leadership.LeaseClock
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.FinalState
@@ -55,6 +56,16 @@
 
     fun leaseLeftMs() = clock.leftMs(loop.nowMs())
 
+    private val keeping = Keeping(settings)
+
+    /** Whether the worker of [report] may be renewed, though this leader may be cut off alone. */
+    fun mayRenew(
+        report: Report,
+        maybeAlone: Boolean,
+    ): Boolean =
+        leaseLeftMs() > 0 ||
+            keeping.mayRenew(clock.sinceContactMs(loop.nowMs()), maybeAlone, maybeAlone && scheduler.holdsWithdrawn(report))
+
     fun resign(why: String) = deposed(why)
 
     private val relayedAtMs = HashMap<String, Long>()
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -148,6 +148,7 @@
         body: ByteArray,
     ): Response {
         val report = reader.report(body) ?: return Response.error(400, "not a report")
+        if (!leader.mayRenew(report, maybeAlone = peers.storeCut() || !peers.heardAny())) return Response(421, Json.obj { })
         return when (val answer = leader.report(report)) {
             ReportAnswer.Deposed -> {
                 leader.resign("${report.machine} has seen term ${report.termSeen}")
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -16,6 +16,7 @@
 import mintfield.core.model.MachineType
 import mintfield.core.model.Order
 import mintfield.core.model.Report
+import mintfield.core.model.ReportedState
 import mintfield.core.model.Settings
 import mintfield.core.model.Shape
 import mintfield.core.placement.Round
@@ -255,6 +256,9 @@
         return ReportAnswer.Orders(cluster.term, reports.orders(m, checkin = true, nowMs))
     }
 
+    /** Whether [report] tells of a task whose job is withdrawn, as far as is known here. */
+    fun holdsWithdrawn(report: Report): Boolean = report.tasks.any { it.state != ReportedState.ENDED && cluster.jobs[it.task.job]?.withdrawn == true }
+
     private fun known(
         report: Report,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -234,9 +234,9 @@
     /** Share of the CPUs that such a job is taken to get once it is ahead. */
     const val PRESSING_SHARE = 0.5
 
-    /** Share of the CPUs by which must be feasible what goes ahead so; the largest beyond it are put off. With all of them, a
-     *  day of losses let every job wait until it pressed, and two in five missed their first deadline. */
-    const val PRESSING_CAPACITY = 0.4
+    /** Share of the CPUs that tasks of jobs ahead may hold. Without a bound, a day of losses let every job wait until it
+     *  pressed, and two in five missed their first deadline. */
+    const val AHEAD_SHARE = 0.25
 
     /** Times the expected run time that its last task is taken to need. */
     const val PRESSING_RUN = 1.5
@@ -373,6 +373,10 @@
     /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
     const val ISOLATED_MS = 2_000L
 
+    /** Milliseconds kept from the time that a cancelled task may stay, when a leader that may be cut off alone renews workers:
+     *  its last contact may have been as much earlier, and workers end their leases a little late. */
+    const val KEEPING_MARGIN_MS = 2_000L
+
     /** Leases between two times that such a leader sends the same worker away. */
     const val SEND_ON_LEASES = 2.0
 
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -122,6 +122,9 @@
     var notBeforeMs = 0L
     var finishing = false
 
+    /** It went before others to meet a strict aim; what its tasks hold counts towards the share for such jobs. */
+    var ahead = false
+
     /** One of its records could not be read; it is kept as it is. */
     var unreadable = false
 
--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -78,11 +78,11 @@
         if (jobs.size < 2) return jobs
         val capacity = maxOf(1.0, arrayCapacity())
         val (pressing, rest) = jobs.map { claim(it, wallMs) }.partition { presses(it, capacity, wallMs) }
-        val (first, late) = feasible(pressing, 0.0, capacity * Tuning.PRESSING_CAPACITY, wallMs) { it.strictDue!! }
+        val (ahead, late) = goAhead(pressing, capacity, wallMs)
         val chosen = ArrayList<Job>()
-        first.sortedWith(compareBy({ it.strictDue }, { it.job.spec.id })).mapTo(chosen) { it.job }
+        ahead.mapTo(chosen) { it.job }
         var open = rest + late
-        var loadS = first.sumOf { it.workS }
+        var loadS = ahead.sumOf { it.workS }
         var level = 0
         while (open.any { it.dues.size > level } && level < MAX_LEVELS) {
             val (with, without) = open.partition { it.dues.size > level }
@@ -120,6 +120,28 @@
         return accepted to putOff
     }
 
+    /**
+     * Of those that press as many as can still be in time, the earliest aim first, for as long as the tasks of all that went
+     * ahead hold no more than their share of the CPUs.
+     */
+    private fun goAhead(
+        pressing: List<Claim>,
+        capacity: Double,
+        wallMs: Long,
+    ): Pair<List<Claim>, List<Claim>> {
+        if (pressing.isEmpty()) return pressing to pressing
+        val (feasible, late) = feasible(pressing, 0.0, capacity * Tuning.AHEAD_SHARE, wallMs) { it.strictDue!! }
+        var room = capacity * Tuning.AHEAD_SHARE
+        for (job in cluster.jobs.values) if (job.ahead) room -= job.activeAttempts.size * job.spec.cpus
+        val (first, others) =
+            feasible.sortedWith(compareBy({ it.strictDue }, { it.job.spec.id })).partition { c ->
+                val cpus = c.job.waitingCount * c.job.spec.cpus
+                (cpus <= room).also { if (it) room -= cpus }
+            }
+        first.forEach { it.job.ahead = true }
+        return first to others + late
+    }
+
     private fun presses(
         c: Claim,
         capacity: Double,
