--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -236,7 +236,7 @@
 
     /** Share of the CPUs that tasks of jobs ahead may hold. Without a bound, a day of losses let every job wait until it
      *  pressed, and two in five missed their first deadline. */
-    const val AHEAD_SHARE = 0.25
+    const val AHEAD_SHARE = 0.35
 
     /** Times the expected run time that its last task is taken to need. */
     const val PRESSING_RUN = 1.5
@@ -288,8 +288,8 @@
     // --- Fleet ---
 
     /** Milliseconds of silence past its lease after which a machine is returned, if its zone is heard otherwise. Machines
-     *  that hang for about their lease are back by then; a dead one costs little meanwhile, as it is replaced at once. */
-    const val SILENT_RETURN_SLACK_MS = 15_000L
+     *  that hang for about their lease are back by then; a dead one holds a place that the cloud lets to nobody meanwhile. */
+    const val SILENT_RETURN_SLACK_MS = 10_000L
 
     /** Milliseconds that a worker may need to find a leader: it tries the controllers in turn, and one that is cut off
      *  costs it 4 s. */
@@ -312,6 +312,9 @@
     /** Milliseconds added to that. */
     const val BOOT_PATIENCE_MS = 30_000L
 
+    /** Times its usual lag that a list may lag (protocol). */
+    const val LIST_LAG_TIMES = 2.0
+
     /** Milliseconds between readings of the machine list. */
     const val LIST_MS = 5_000L
 
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -40,6 +40,9 @@
     private var lastListMs = Machine.NEVER
     private var listAfter: String? = null
     private var listing = false
+
+    /** When the first page of the list that is being read came. */
+    private var listFromMs = Machine.NEVER
     private var listedOnce = false
     private var lastTypesMs = Machine.NEVER
     private var pausedUntilMs = Machine.NEVER
@@ -136,20 +139,35 @@
             }
             val known = l.id in cluster.machines
             val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
+            if (m.firstListedAtMs == Machine.NEVER) m.firstListedAtMs = nowMs
             m.listedAtMs = nowMs
             if (m.guessed) redescribe(m, l.type, l.zone, l.spot, nowMs)
             // Only a machine that still boots is as old as it is listed. One that is up has merely not reported to this
             // leader yet: judged by its age, a take-over would return the whole fleet.
             if (!known && l.stage == "starting") m.firstSeenAtMs = nowMs - (l.heldS * 1000).toLong().coerceAtMost(MAX_HELD_MS)
         }
+        if (listAfter == null) listFromMs = nowMs
         listing = hasNext
         listAfter = if (hasNext) page.lastOrNull()?.id else null
         if (!hasNext) {
+            unlisted(nowMs)
             lastListMs = nowMs
             listedOnce = true
         }
     }
 
+    /**
+     * Machines that were listed for long enough for every list to have them, are not any more, and are silent: the cloud has
+     * taken them. Their return proves that, and there may be room for others in their place.
+     */
+    private fun unlisted(nowMs: Long) {
+        val lagMs = (cluster.settings.listLagS * 1000 * Tuning.LIST_LAG_TIMES).toLong() + Tuning.LIST_MS
+        for (m in cluster.machines.values.toList()) {
+            if (m.state != MachineState.SILENT || m.listedAtMs >= listFromMs || m.firstListedAtMs == Machine.NEVER) continue
+            if (nowMs - m.firstListedAtMs > lagMs) condemn(m, nowMs, "it is silent and not listed any more")
+        }
+    }
+
     fun rented(
         intent: RentIntent,
         ids: List<String>,
@@ -190,6 +208,10 @@
         for (id in ids) {
             val m = cluster.machines.remove(id) ?: continue
             m.attempts.toList().forEach { cluster.release(it, nowMs, "${m.id} was returned") }
+            // Its place may be let again: a refusal from before says nothing any more.
+            val offer = Offer(m.type, m.zone, m.spot)
+            refusedUntil.remove(offer)
+            refusalPause.remove(offer)
             m.moveTo(MachineState.GONE, nowMs)
             goneIds.add(id)
             if (goneIds.size > MAX_GONE) goneIds.remove(goneIds.first())
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -58,6 +58,7 @@
     /** Known only by name, from a plan: type, zone and kind are guesses until a report or the list tells them. */
     var guessed = false
     var firstSeenAtMs = 0L
+    var firstListedAtMs = NEVER
     var listedAtMs = NEVER
 
     /** When the cloud will take it, if it has said so. */
