--- a/src/main/kotlin/mintfield/core/placement/ReplicaReserve.kt
+++ b/src/main/kotlin/mintfield/core/placement/ReplicaReserve.kt
@@ -6,9 +6,10 @@
 import mintfield.core.model.Shape
 
 /**
- * Room on ordinary machines that arrays leave to new replicas, so that those need not displace anything. What must stay
- * free follows from how many replicas come and go, not from the number of machines: kept on each of hundreds, it left a
- * twentieth of the fleet idle while thousands of tasks waited.
+ * Room on ordinary machines that arrays leave to new replicas, so that those need not displace anything. How much follows
+ * from how many replicas come and go, not from the number of machines: a place kept on each of hundreds left a twentieth of
+ * the fleet idle while thousands of tasks waited. While more is free than wanted arrays take any room; after that they
+ * leave one place on each machine that still has more.
  */
 class ReplicaReserve(
     cluster: Cluster,
