--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -45,7 +45,7 @@
         loop.start()
         loop.post {
             HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
-            HttpServer(loop, scope, group, PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
+            HttpServer(loop, scope, group, Tuning.PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
             outside.store.onContact = peers::storeContact
             changes.onCrowded = { member.leader?.giveWay() }
             scope.launch { member.run() }
@@ -216,8 +216,5 @@
 
     private companion object {
         const val JOB_PATH = "/v1/jobs/"
-
-        /** Connections that siblings may open; each needs one or two. */
-        const val PEER_CONNECTIONS = 16
     }
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -38,7 +38,7 @@
     const val CLIENT_IDLE_MS = 20_000L
 
     /** Share of `max_sockets` given to connections that come in; the rest stays free for those going out. */
-    const val INCOMING_SOCKET_SHARE = 0.6
+    const val INCOMING_SOCKET_SHARE = 0.7
 
     // --- Leadership ---
 
@@ -119,7 +119,7 @@
     const val CHANGE_LEAST_OPS = 2
 
     /** Share of the permitted writes that users' changes at one node may take. */
-    const val CHANGE_WRITE_SHARE = 0.5
+    const val CHANGE_WRITE_SHARE = 0.7
 
     /** Transactions with changes of users that one node has under way at once. */
     const val CHANGE_LANES = 2
@@ -358,6 +358,13 @@
     /** Milliseconds between notes to the siblings. */
     const val PEER_NOTE_MS = 1_000L
 
+    /** Reports and requests on their way to one sibling at once. When workers lose the leader hundreds come to its siblings
+     *  within a second: those beyond wait their turn for some milliseconds, where each used to open a connection. */
+    const val RELAY_LANES = 12
+
+    /** Connections that siblings may open here; each sibling needs its lanes and one or two for notes. */
+    const val PEER_CONNECTIONS = 64
+
     /** Milliseconds to wait for a sibling. */
     const val PEER_TIMEOUT_MS = 900L
 
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -3,6 +3,9 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
@@ -114,7 +117,8 @@
     private var silentSinceMs: Long? = null
     private var refusedSinceMs: Long? = null
 
-    private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = 2) }
+    private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = Tuning.RELAY_LANES + 2) }
+    private val lanes = settings.siblings.associate { it.member to Semaphore(Tuning.RELAY_LANES) }
 
     fun start() {
         for (client in clients.values) {
@@ -156,7 +160,18 @@
     ): RelayAnswer? {
         val client = clients[leader] ?: return null
         val bytes = ProtoBuf.encodeToByteArray(RelayedReport.serializer(), RelayedReport(settings.member, body))
-        val reply = client.call("POST", "/relay", bytes, Tuning.RELAY_TIMEOUT_MS)
+        return passOn(leader, client, "/relay", bytes, Tuning.RELAY_TIMEOUT_MS)
+    }
+
+    /** Sends [bytes] to [sibling] when one of its lanes is free; null without an answer in [timeoutMs], the wait included. */
+    private suspend fun passOn(
+        sibling: String,
+        client: HttpClient,
+        path: String,
+        bytes: ByteArray,
+        timeoutMs: Long,
+    ): RelayAnswer? {
+        val reply = withTimeoutOrNull(timeoutMs) { lanes.getValue(sibling).withPermit { client.call("POST", path, bytes, timeoutMs) } }
         if (reply !is Reply.Answer || reply.status != 200) return null
         return decode(RelayAnswer.serializer(), reply.body)
     }
@@ -171,9 +186,8 @@
         val sibling = heard.values.firstOrNull { it.note.storeServes && now - it.atMs < Tuning.PEER_FRESH_MS } ?: return null
         val client = clients[sibling.note.member] ?: return null
         val relayed = RelayedRequest(request.first, request.second, request.body)
-        val reply = client.call("POST", "/user", ProtoBuf.encodeToByteArray(RelayedRequest.serializer(), relayed), Tuning.PEER_TIMEOUT_MS)
-        if (reply !is Reply.Answer || reply.status != 200) return null
-        val answer = decode(RelayAnswer.serializer(), reply.body) ?: return null
+        val bytes = ProtoBuf.encodeToByteArray(RelayedRequest.serializer(), relayed)
+        val answer = passOn(sibling.note.member, client, "/user", bytes, Tuning.PEER_TIMEOUT_MS) ?: return null
         return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
     }
 
