--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -45,7 +45,7 @@
         loop.start()
         loop.post {
             HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
-            HttpServer(loop, scope, group, PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
+            HttpServer(loop, scope, group, Tuning.PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
             outside.store.onContact = peers::storeContact
             changes.onCrowded = { member.leader?.giveWay() }
             scope.launch { member.run() }
@@ -148,6 +148,7 @@
         body: ByteArray,
     ): Response {
         val report = reader.report(body) ?: return Response.error(400, "not a report")
+        if (!leader.mayRenew(report, maybeAlone = peers.storeCut() || !peers.heardAny())) return Response(421, Json.obj { })
         return when (val answer = leader.report(report)) {
             ReportAnswer.Deposed -> {
                 leader.resign("${report.machine} has seen term ${report.termSeen}")
@@ -215,8 +216,5 @@
 
     private companion object {
         const val JOB_PATH = "/v1/jobs/"
-
-        /** Connections that siblings may open; each needs one or two. */
-        const val PEER_CONNECTIONS = 16
     }
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -38,7 +38,7 @@
     const val CLIENT_IDLE_MS = 20_000L
 
     /** Share of `max_sockets` given to connections that come in; the rest stays free for those going out. */
-    const val INCOMING_SOCKET_SHARE = 0.6
+    const val INCOMING_SOCKET_SHARE = 0.7
 
     // --- Leadership ---
 
@@ -119,7 +119,7 @@
     const val CHANGE_LEAST_OPS = 2
 
     /** Share of the permitted writes that users' changes at one node may take. */
-    const val CHANGE_WRITE_SHARE = 0.5
+    const val CHANGE_WRITE_SHARE = 0.7
 
     /** Transactions with changes of users that one node has under way at once. */
     const val CHANGE_LANES = 2
@@ -234,9 +234,9 @@
     /** Share of the CPUs that such a job is taken to get once it is ahead. */
     const val PRESSING_SHARE = 0.5
 
-    /** Share of the CPUs by which must be feasible what goes ahead so; the largest beyond it are put off. With all of them, a
-     *  day of losses let every job wait until it pressed, and two in five missed their first deadline. */
-    const val PRESSING_CAPACITY = 0.4
+    /** Share of the CPUs that tasks of jobs ahead may hold. Without a bound, a day of losses let every job wait until it
+     *  pressed, and two in five missed their first deadline. */
+    const val AHEAD_SHARE = 0.35
 
     /** Times the expected run time that its last task is taken to need. */
     const val PRESSING_RUN = 1.5
@@ -288,8 +288,8 @@
     // --- Fleet ---
 
     /** Milliseconds of silence past its lease after which a machine is returned, if its zone is heard otherwise. Machines
-     *  that hang for about their lease are back by then; a dead one costs little meanwhile, as it is replaced at once. */
-    const val SILENT_RETURN_SLACK_MS = 15_000L
+     *  that hang for about their lease are back by then; a dead one holds a place that the cloud lets to nobody meanwhile. */
+    const val SILENT_RETURN_SLACK_MS = 10_000L
 
     /** Milliseconds that a worker may need to find a leader: it tries the controllers in turn, and one that is cut off
      *  costs it 4 s. */
@@ -312,6 +312,9 @@
     /** Milliseconds added to that. */
     const val BOOT_PATIENCE_MS = 30_000L
 
+    /** Times its usual lag that a list may lag (protocol). */
+    const val LIST_LAG_TIMES = 2.0
+
     /** Milliseconds between readings of the machine list. */
     const val LIST_MS = 5_000L
 
@@ -355,6 +358,13 @@
     /** Milliseconds between notes to the siblings. */
     const val PEER_NOTE_MS = 1_000L
 
+    /** Reports and requests on their way to one sibling at once. When workers lose the leader hundreds come to its siblings
+     *  within a second: those beyond wait their turn for some milliseconds, where each used to open a connection. */
+    const val RELAY_LANES = 12
+
+    /** Connections that siblings may open here; each sibling needs its lanes and one or two for notes. */
+    const val PEER_CONNECTIONS = 64
+
     /** Milliseconds to wait for a sibling. */
     const val PEER_TIMEOUT_MS = 900L
 
@@ -373,6 +383,10 @@
     /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
     const val ISOLATED_MS = 2_000L
 
+    /** Milliseconds kept from the time that a cancelled task may stay, when a leader that may be cut off alone renews workers:
+     *  its last contact may have been as much earlier, and workers end their leases a little late. */
+    const val KEEPING_MARGIN_MS = 2_000L
+
     /** Leases between two times that such a leader sends the same worker away. */
     const val SEND_ON_LEASES = 2.0
 
