--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -15,6 +15,7 @@
 import mintfield.core.Write
 import mintfield.core.leadership.Keeping
 import mintfield.core.leadership.LeaseClock
+import mintfield.core.leadership.Roundabouts
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.FinalState
 import mintfield.core.model.Report
@@ -68,26 +69,26 @@
 
     fun resign(why: String) = deposed(why)
 
-    private val relayedAtMs = HashMap<String, Long>()
+    private val roundabouts = Roundabouts(scheduler.cluster.timings.relayAfterMs)
+
+    fun heardDirectly(report: Report) = roundabouts.heardDirectly(report.zone, loop.nowMs())
 
     /** Workers whose first report to this leader was relayed. */
     private val newcomers = HashSet<String>()
 
     /**
-     * Whether a worker whose report was relayed had better come here itself: it did so a moment ago, or may never have
-     * tried. One that this leader hears for the first time is answered at once, and sent here with its next report: after
+     * Whether a worker whose report was relayed had better come here itself: it may never have tried, or can do so again. One
+     * that this leader hears for the first time is answered at once, and sent here with its next report: after
      * a take-over its lease may have used up its time at controllers that did not answer.
      */
-    fun comesDirectly(machine: String): Boolean {
-        val now = loop.nowMs()
-        val last = relayedAtMs.put(machine, now)
-        val m = scheduler.cluster.machines[machine]
+    fun comesDirectly(report: Report): Boolean {
+        val m = scheduler.cluster.machines[report.machine]
         if (m == null || m.heardAtMs <= 0) {
-            newcomers.add(machine)
+            newcomers.add(report.machine)
             return false
         }
-        if (newcomers.remove(machine)) return true
-        return now - m.heardAtMs < scheduler.cluster.timings.relayAfterMs && (last == null || now - last > Tuning.RELAY_AGAIN_MS)
+        if (newcomers.remove(report.machine)) return true
+        return roundabouts.shouldCome(report.machine, report.zone, loop.nowMs())
     }
 
     private var yieldUntilMs = 0L
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -5,6 +5,7 @@
 import mintfield.core.ReportAnswer
 import mintfield.core.Timings
 import mintfield.core.Tuning
+import mintfield.core.leadership.Detours
 import mintfield.core.leadership.WorkerRounds
 import mintfield.core.model.Settings
 import mintfield.core.model.fittingTypes
@@ -38,6 +39,7 @@
     private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, { peers.storeCut() })
     private val rounds = WorkerRounds(Timings(settings).sendOnMs)
+    private val detours = Detours()
     private val reader = WorkerCodec.Reader(settings.maxSockets)
     private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
 
@@ -134,7 +136,7 @@
             val report = reader.report(request.body) ?: return Response.error(400, "not a report")
             if (rounds.sendOn(report.machine, loop.nowMs())) return Response(421, Json.obj { })
         }
-        return answer(leader, request.body)
+        return answer(leader, request.body, direct = true)
     }
 
     /**
@@ -146,8 +148,10 @@
     private fun answer(
         leader: Leader,
         body: ByteArray,
+        direct: Boolean = false,
     ): Response {
         val report = reader.report(body) ?: return Response.error(400, "not a report")
+        if (direct) leader.heardDirectly(report)
         if (!leader.mayRenew(report, maybeAlone = peers.storeCut() || !peers.heardAny())) return Response(421, Json.obj { })
         return when (val answer = leader.report(report)) {
             ReportAnswer.Deposed -> {
@@ -165,11 +169,20 @@
     /** Not the leader: the report goes on to it, and its answer back; it says if the worker should come directly. */
     private suspend fun elsewhere(request: HttpMessage): Response {
         val leader = member.known?.takeIf { it != settings.member } ?: return Response(421, Json.obj { })
-        // Naming a leader that cannot be reached from here would cost the worker seconds of its lease.
-        val answer = peers.relay(leader, request.body) ?: return Response(421, Json.obj { })
+        val answer = peers.relay(leader, request.body) ?: return detour(leader, request)
         return if (answer.status == 421) Response(421, Json.obj { writeStringField("steward", leader) }) else Response(answer.status, answer.body)
     }
 
+    /** Naming a leader that cannot be reached from here would cost the worker seconds of its lease; another sibling may help. */
+    private fun detour(
+        leader: String,
+        request: HttpMessage,
+    ): Response {
+        val report = reader.report(request.body) ?: return Response.error(400, "not a report")
+        val to = detours.offer(report.machine, peers.heardBesides(leader), loop.nowMs())
+        return Response(421, Json.obj { to?.let { writeStringField("steward", it) } })
+    }
+
     override suspend fun relayedUser(
         method: String,
         path: String,
@@ -179,7 +192,7 @@
     override fun relayed(body: ByteArray): Response {
         val leader = member.leader ?: return Response(503, Json.obj { })
         val report = reader.report(body) ?: return Response.error(400, "not a report")
-        if (leader.comesDirectly(report.machine)) return Response(421, Json.obj { })
+        if (leader.comesDirectly(report)) return Response(421, Json.obj { })
         return answer(leader, body)
     }
 
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -377,9 +377,13 @@
     /** Milliseconds beyond the longest honest interval between reports for the same. */
     const val RELAY_SLACK_MS = 1_250L
 
-    /** Milliseconds within which a second relayed report of an unknown worker shows that it cannot come directly. */
+    /** Milliseconds for which a worker that was sent to another controller is not sent on again: if it is back before, it
+     *  has not got through. */
     const val RELAY_AGAIN_MS = 12_000L
 
+    /** Milliseconds between two workers of a zone that try whether the leader can be reached again. */
+    const val SCOUT_MS = 5_000L
+
     /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
     const val ISOLATED_MS = 2_000L
 
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/leadership/Roundabouts.kt
@@ -0,0 +1,66 @@
+package mintfield.core.leadership
+
+import mintfield.core.Tuning
+
+/**
+ * Brings workers whose reports come through siblings back to the leader itself: through a sibling they depend on two
+ * controllers, and when the leader stands still they find that out at each sibling in turn. After a cut all workers of a zone
+ * come so; one at a time is sent to try, and when one is heard directly the others follow.
+ */
+class Roundabouts(
+    private val directFreshMs: Long,
+) {
+    private val directAtMs = HashMap<String, Long>()
+    private val scoutAtMs = HashMap<String, Long>()
+    private val sentAtMs = HashMap<String, Long>()
+
+    /** A worker of [zone] has reported here directly. */
+    fun heardDirectly(
+        zone: String,
+        nowMs: Long,
+    ) {
+        directAtMs[zone] = nowMs
+    }
+
+    /** Whether [machine] of [zone], whose report was relayed, is to come here itself from now on. */
+    fun shouldCome(
+        machine: String,
+        zone: String,
+        nowMs: Long,
+    ): Boolean {
+        if (within(sentAtMs[machine], nowMs, Tuning.RELAY_AGAIN_MS)) return false
+        if (!within(directAtMs[zone], nowMs, directFreshMs)) {
+            if (within(scoutAtMs[zone], nowMs, Tuning.SCOUT_MS)) return false
+            scoutAtMs[zone] = nowMs
+        }
+        sentAtMs[machine] = nowMs
+        return true
+    }
+
+    private fun within(
+        atMs: Long?,
+        nowMs: Long,
+        ms: Long,
+    ) = atMs != null && nowMs - atMs < ms
+}
+
+/**
+ * Where a worker goes that comes to a controller which cannot reach the leader. The next one in its order may be that leader,
+ * standing still, which costs it 4 s; so it is sent to a sibling that is heard, once, and after that left to its own order,
+ * as it may reach the leader itself.
+ */
+class Detours {
+    private val sentAtMs = HashMap<String, Long>()
+
+    fun offer(
+        machine: String,
+        sibling: String?,
+        nowMs: Long,
+    ): String? {
+        if (sibling == null) return null
+        val last = sentAtMs[machine]
+        if (last != null && nowMs - last < Tuning.RELAY_AGAIN_MS) return null
+        sentAtMs[machine] = nowMs
+        return sibling
+    }
+}
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -231,6 +231,9 @@
     /** Whether any sibling has been heard lately. */
     fun heardAny(): Boolean = heard.values.any { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS }
 
+    /** A sibling other than [leader] that has been heard lately. */
+    fun heardBesides(leader: String): String? = heard.entries.firstOrNull { it.key != leader && loop.nowMs() - it.value.atMs < Tuning.PEER_FRESH_MS }?.key
+
     fun progress(id: String): Progress? = jobs[id]
 
     fun storeContact(contact: StoreClient.Contact) {
--- /dev/null
+++ b/src/test/kotlin/mintfield/RoundaboutsTest.kt
@@ -0,0 +1,36 @@
+package mintfield
+
+import mintfield.core.Tuning
+import mintfield.core.leadership.Detours
+import mintfield.core.leadership.Roundabouts
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class RoundaboutsTest {
+    @Test
+    fun `after a cut one worker of a zone tries, and the others follow when it is heard`() {
+        // Guards against workers that go on through siblings for ever: when the leader stood still, a hundred lost their leases.
+        val r = Roundabouts(directFreshMs = 3_000)
+        assertTrue(r.shouldCome("m-1", "north", 1_000), "the first of the zone tries")
+        assertFalse(r.shouldCome("m-2", "north", 1_100), "the others stay where they are answered")
+        assertFalse(r.shouldCome("m-1", "north", 5_000), "back through the sibling: it has not got through")
+        assertTrue(r.shouldCome("m-3", "north", 1_000 + Tuning.SCOUT_MS), "another one tries later")
+        r.heardDirectly("north", 8_000)
+        assertTrue(r.shouldCome("m-2", "north", 8_100))
+        assertTrue(r.shouldCome("m-4", "north", 8_200))
+        assertTrue(r.shouldCome("m-5", "south", 8_200), "another zone has a scout of its own")
+        assertFalse(r.shouldCome("m-6", "south", 8_300))
+    }
+
+    @Test
+    fun `a worker is sent to another sibling once, then left to its own order`() {
+        val d = Detours()
+        assertEquals("plot-1", d.offer("m-1", "plot-1", 1_000))
+        assertNull(d.offer("m-1", "plot-1", 4_000), "it may reach the leader itself, so it must not be sent to and fro")
+        assertNull(d.offer("m-2", null, 4_000))
+        assertEquals("plot-1", d.offer("m-1", "plot-1", 1_000 + Tuning.RELAY_AGAIN_MS))
+    }
+}
