--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -10,6 +10,7 @@
 import mintfield.core.Commit
 import mintfield.core.CommitResult
 import mintfield.core.DirectCall
+import mintfield.core.ReportAnswer
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
 import mintfield.core.Write
@@ -165,6 +166,12 @@
     /** Rebuilds the picture: catalogue, jobs, intents, machines, recorded plans and done-sets; then work goes on. */
     private suspend fun replay() {
         val startMs = loop.nowMs()
+        // Before anybody is answered: what an earlier leader gave its word on must hold.
+        for (e in readAll(Keys.DISOWNED)) {
+            val key = e.key.removePrefix(Keys.DISOWNED)
+            Records.parseDisowned(key, e.data)?.let { scheduler.disowning.replay(it) } ?: scheduler.disowning.replayUnreadable(key)
+        }
+        scheduler.disowning.read = true
         while (outside.types.isEmpty()) {
             outside.readTypes()
             if (outside.types.isEmpty()) delay(Tuning.CLOUD_RETRY_MS)
@@ -338,13 +345,24 @@
             is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
             is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
             is Write.Remember -> listOf(KeyWrite.Put(Keys.HINTS, Records.hints(w.hints, (settings.valueKb * 1000).toInt())))
+            is Write.Disown -> listOf(KeyWrite.Put(Keys.DISOWNED + w.record.key, Records.disowned(w.record)))
+            is Write.Own -> listOf(KeyWrite.Delete(Keys.DISOWNED + w.key))
             is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
             Write.RaiseTerm -> listOf(KeyWrite.Put(Keys.LEADER, leaderValue(settings.member, nonce), lease))
         }
 
     // ---- workers ----
 
-    fun report(report: Report) = scheduler.report(report, mayAct(), loop.nowMs())
+    /** The answer to a report; it may have to wait until the machine is not disowned any more. */
+    suspend fun report(report: Report): ReportAnswer {
+        val until = loop.nowMs() + Tuning.DISOWN_WAIT_MS
+        while (true) {
+            val answer = scheduler.report(report, mayAct(), loop.nowMs())
+            if (answer != ReportAnswer.NotNow || loop.nowMs() > until) return answer
+            kick()
+            delay(Tuning.DISOWN_STEP_MS)
+        }
+    }
 
     private fun sendDirect() {
         if (!mayAct()) return
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -145,7 +145,7 @@
      */
     private fun isolated(leader: Leader) = leader.leaseLeftMs() < -Tuning.ISOLATED_MS && peers.storeSilent() && !peers.heardAny()
 
-    private fun answer(
+    private suspend fun answer(
         leader: Leader,
         body: ByteArray,
         direct: Boolean = false,
@@ -159,7 +159,13 @@
                 Response(421, Json.obj { })
             }
 
+            ReportAnswer.NotNow -> {
+                Response(503, Json.obj { })
+            }
+
             is ReportAnswer.Orders -> {
+                // It may have given up while the report waited.
+                if (member.leader !== leader) return Response(421, Json.obj { })
                 leader.kick()
                 Response(200, WorkerCodec.orders(answer.term, null, answer.orders))
             }
@@ -189,7 +195,7 @@
         body: ByteArray,
     ) = user(HttpMessage(method, path, "HTTP/1.1", emptyMap(), body))
 
-    override fun relayed(body: ByteArray): Response {
+    override suspend fun relayed(body: ByteArray): Response {
         val leader = member.leader ?: return Response(503, Json.obj { })
         val report = reader.report(body) ?: return Response.error(400, "not a report")
         if (leader.comesDirectly(report)) return Response(421, Json.obj { })
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -1,5 +1,6 @@
 package mintfield.core
 
+import mintfield.core.fleet.DisownRecord
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.RoundRecord
 import mintfield.core.model.Order
@@ -40,6 +41,16 @@
         val hints: Hints,
     ) : Write
 
+    /** The leader's word on machines that it does not answer any more. */
+    data class Disown(
+        val record: DisownRecord,
+    ) : Write
+
+    /** That word does not hold any more. */
+    data class Own(
+        val key: String,
+    ) : Write
+
     /** Rewrites the leader key, so that its revision, the term, rises. */
     data object RaiseTerm : Write
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -1,5 +1,6 @@
 package mintfield.core
 
+import mintfield.core.fleet.Disowning
 import mintfield.core.fleet.FleetManager
 import mintfield.core.fleet.HearingState
 import mintfield.core.fleet.ListedMachine
@@ -30,6 +31,9 @@
 
     /** The worker has seen a higher term: this leader's time is over. */
     data object Deposed : ReportAnswer
+
+    /** It may not be answered yet. */
+    data object NotNow : ReportAnswer
 }
 
 /**
@@ -45,6 +49,7 @@
     private val reports = ReportHandler(cluster, log)
     private val round = Round(cluster, log)
     val fleet = FleetManager(cluster, log)
+    val disowning = Disowning(cluster, log)
 
     /** Records whose job has ended; they go when there is room, and a successor finds what is left of them. */
     private val leftOver = LinkedHashSet<Write>()
@@ -192,6 +197,7 @@
 
     fun replayDone(nowMs: Long) {
         loaded = true
+        disowning.read = true
         cluster.replayedAtMs = nowMs
         // What was replayed is written already.
         for (job in cluster.jobs.values) {
@@ -244,6 +250,7 @@
         nowMs: Long,
     ): ReportAnswer {
         if (report.termSeen > cluster.term) return ReportAnswer.Deposed
+        if (!disowning.mayAnswer(report.machine)) return ReportAnswer.NotNow
         val bare = ReportAnswer.Orders(cluster.term, emptyList())
         if (!loaded) {
             known(report, nowMs)?.answeredAtMs = nowMs
@@ -354,6 +361,7 @@
         if (raiseNow || (cluster.raiseWanted && nowMs - lastRaiseMs >= Tuning.RAISE_TERM_GAP_MS)) {
             return Commit(cluster.term, listOf(Write.RaiseTerm))
         }
+        disowning.look(nowMs, wallMs)
         val urgent = cluster.jobs.values.any { it.spec.shape == Shape.SERVICE && !it.withdrawn && it.waitingCount > 0 }
         val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
         if (nowMs - lastRoundMs >=
@@ -369,7 +377,10 @@
             round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
         }
         val writes = ArrayList<Write>()
-        var left = ops
+        // Machines wait for the one, and a successor's proof hangs on the other.
+        disowning.unwanted.take(ops).mapTo(writes) { Write.Own(it) }
+        disowning.wanted.take(ops - writes.size).mapTo(writes) { Write.Disown(it) }
+        var left = ops - writes.size
         for (job in cluster.jobs.values) {
             if (left <= 0) break
             if (job.allDone && !job.unreadable && !job.finishing && !job.withdrawn && job.activeAttempts.isEmpty()) {
@@ -525,6 +536,8 @@
                 fleet.intents[write.intent.plea] = write.intent
             }
             is Write.Remember -> {}
+            is Write.Disown -> disowning.written(write.record)
+            is Write.Own -> disowning.deleted(write.key)
             is Write.DropIntent -> fleet.spentIntents.remove(write.plea)
             Write.RaiseTerm -> raised(revision, nowMs)
         }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -289,7 +289,7 @@
 
     /** Milliseconds of silence past its lease after which a machine is returned, if its zone is heard otherwise. Machines
      *  that hang for about their lease are back by then; a dead one holds a place that the cloud lets to nobody meanwhile. */
-    const val SILENT_RETURN_SLACK_MS = 10_000L
+    const val SILENT_RETURN_SLACK_MS = 13_000L
 
     /** Milliseconds that a worker may need to find a leader: it tries the controllers in turn, and one that is cut off
      *  costs it 4 s. */
@@ -306,6 +306,20 @@
     /** Share of a zone's machines whose silence speaks of a cut instead of dead machines. */
     const val SILENT_ZONE_SHARE = 0.5
 
+    /** Silent machines of a zone from which on its silence is written down. */
+    const val DISOWN_LEAST = 3
+
+    /** Milliseconds between looks for such zones: machines fall silent one by one, and each look may cost a write. */
+    const val DISOWN_LOOK_MS = 1_000L
+
+    /** Milliseconds that a report may wait until a record which names its machine is deleted, and between two looks. A relay
+     *  waits 1.5 s, a worker 4 s. */
+    const val DISOWN_WAIT_MS = 1_000L
+    const val DISOWN_STEP_MS = 20L
+
+    /** Milliseconds by which the times of day of two controllers, and the steps of their timers, may differ at the most. */
+    const val WALL_MARGIN_MS = 500L
+
     /** A machine that is not up after this many times its usual boot time is returned. */
     const val BOOT_PATIENCE = 4.0
 
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -104,7 +104,7 @@
         ): Response
 
         /** A report that came by way of a sibling. */
-        fun relayed(body: ByteArray): Response
+        suspend fun relayed(body: ByteArray): Response
     }
 
     private class Heard(
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -16,6 +16,9 @@
     /** Rental intents, by plea. */
     const val INTENTS = "mf/i/"
 
+    /** Machines that a leader does not answer any more. */
+    const val DISOWNED = "mf/d/"
+
     /** What leaders have learned, for their successors. */
     const val HINTS = "mf/hints"
 
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator
 import mintfield.core.Hints
 import mintfield.core.RentIntent
+import mintfield.core.fleet.DisownRecord
 import mintfield.core.jobs.PlannedGroup
 import mintfield.core.jobs.RoundPart
 import mintfield.core.jobs.RoundRecord
@@ -179,6 +180,23 @@
         return Hints(numbers("gb"), machines, numbers("ratio"))
     }
 
+    fun disowned(record: DisownRecord): ByteArray =
+        Json.obj {
+            writeNumberField("since", record.sinceWallMs)
+            writeArrayFieldStart("machines")
+            record.machines.forEach { writeString(it) }
+            writeEndArray()
+        }
+
+    /** Null if it cannot be read. */
+    fun parseDisowned(
+        key: String,
+        data: Map<String, Any?>,
+    ): DisownRecord? {
+        val machines = data["machines"].asList() ?: return null
+        return DisownRecord(key, machines.map { it as? String ?: return null }, data.long("since") ?: return null)
+    }
+
     fun intent(i: RentIntent): ByteArray =
         Json.obj {
             writeStringField("type", i.type)
--- a/src/test/kotlin/mintfield/TraceTest.kt
+++ b/src/test/kotlin/mintfield/TraceTest.kt
@@ -5,6 +5,7 @@
 import mintfield.core.ReportAnswer
 import mintfield.core.Scheduler
 import mintfield.core.Write
+import mintfield.core.fleet.DisownRecord
 import mintfield.core.fleet.ListedMachine
 import mintfield.core.jobs.RoundRecord
 import mintfield.core.model.EndCause
@@ -48,6 +49,7 @@
         private var now = 1_000L
         private var mark = 1L
         private val rounds = LinkedHashMap<String, Pair<Long, RoundRecord>>()
+        private val disowned = LinkedHashMap<String, DisownRecord>()
         private val jobs = LinkedHashMap<String, mintfield.core.model.AcceptedJob>()
         private val logged = ArrayList<String>()
         private var calls = emptyList<mintfield.core.DirectCall>()
@@ -147,6 +149,7 @@
                 )
             return when (val a = scheduler.report(r, mayAct = "lapsed" !in words, nowMs = now)) {
                 ReportAnswer.Deposed -> listOf("deposed")
+                ReportAnswer.NotNow -> listOf("not now")
                 is ReportAnswer.Orders -> listOf("term ${a.term}${a.orders.joinToString("") { " " + show(it) }}")
             }
         }
@@ -172,6 +175,8 @@
                 c.writes.forEach { w ->
                     if (w is Write.Round) rounds[w.key] = mark to w.record
                     if (w is Write.SweepRound) rounds.remove(w.key)
+                    if (w is Write.Disown) disowned[w.record.key] = w.record
+                    if (w is Write.Own) disowned.remove(w.key)
                 }
             }
             scheduler.committed(c, result, now)
@@ -194,6 +199,8 @@
                 is Write.Intend -> "intend ${w.intent.number} ${w.intent.type} in ${w.intent.zone} spot=${w.intent.spot} as ${w.intent.plea}"
                 is Write.DropIntent -> "drop intent ${w.plea}"
                 is Write.Remember -> "remember"
+                is Write.Disown -> "disown ${w.record.machines} since ${w.record.sinceWallMs}"
+                is Write.Own -> "own ${w.key} again"
                 Write.RaiseTerm -> "raise term"
             }
 
@@ -234,6 +241,7 @@
         /** A new leader from what was written. */
         private fun successor(term: Long): List<String> {
             scheduler = fresh(term)
+            disowned.values.forEach { scheduler.disowning.replay(it) }
             jobs.values.forEach { scheduler.jobChanged(it, now) }
             rounds.forEach { (k, v) -> scheduler.replayRound(k, v.second, v.first, now) }
             return emptyList()
