--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -2,17 +2,15 @@
 
 import mintfield.core.fleet.Disowning
 import mintfield.core.fleet.FleetManager
-import mintfield.core.fleet.HearingState
 import mintfield.core.fleet.ListedMachine
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.AttemptState
+import mintfield.core.jobs.DirectLine
 import mintfield.core.jobs.Job
-import mintfield.core.jobs.KeptRound
-import mintfield.core.jobs.PlannedGroup
 import mintfield.core.jobs.ReportHandler
+import mintfield.core.jobs.RoundLedger
 import mintfield.core.jobs.RoundRecord
-import mintfield.core.jobs.Rounds
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.MachineType
 import mintfield.core.model.Order
@@ -51,12 +49,8 @@
     val fleet = FleetManager(cluster, log)
     val disowning = Disowning(cluster, log)
 
-    /** Records whose job has ended; they go when there is room, and a successor finds what is left of them. */
-    private val leftOver = LinkedHashSet<Write>()
-
-    /** Round records in the store, the oldest first. */
-    private val rounds = LinkedHashMap<String, KeptRound>()
-    private var roundNumber = 0L
+    private val ledger = RoundLedger(cluster, fleet)
+    private val direct = DirectLine(cluster, reports, log)
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
@@ -77,80 +71,13 @@
         fleet.intents[intent.plea] = intent
     }
 
-    /**
-     * Takes a round's record as outputs of plan and done-set steps that need not run again. Rounds come in the order of
-     * their revisions: the later one tells the truth, as it was written with proof. [keep]: something in it cannot be read.
-     */
     fun replayRound(
         key: String,
         record: RoundRecord,
         mark: Long,
         nowMs: Long,
         keep: Boolean = false,
-    ) {
-        val kept = KeptRound(key, mark, nowMs)
-        for (part in record.parts) {
-            val job = cluster.jobs[part.job] ?: continue
-            part.freed.forEach { i -> job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) } }
-            part.plans.forEach { replayPlan(job, it, nowMs) }
-            part.done.forEach { replayDone(job, it, nowMs) }
-            need(kept, job, part.shard)
-        }
-        if (keep) return
-        if (kept.needed.isEmpty()) leftOver.add(Write.SweepRound(key)) else rounds[key] = kept
-    }
-
-    private fun replayDone(
-        job: Job,
-        index: Int,
-        nowMs: Long,
-    ) {
-        if (index >= job.spec.tasks) return
-        job.attempt(index)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) }
-        job.setDone(index)
-        job.doneWritten.set(index)
-    }
-
-    private fun replayPlan(
-        job: Job,
-        g: PlannedGroup,
-        nowMs: Long,
-    ) {
-        val m = cluster.machines[g.machine] ?: unknownMachine(g.machine, job, nowMs) ?: return
-        for (i in g.indices) {
-            if (i >= job.spec.tasks || job.done.get(i)) continue
-            job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) }
-            if (g.season < m.season) continue
-            val a = cluster.occupy(job, i, g.attempt, m, g.season)
-            a.everSent = true
-            a.moveTo(AttemptState.PLANNED, nowMs)
-        }
-    }
-
-    private fun need(
-        kept: KeptRound,
-        job: Job,
-        shard: Int,
-    ) {
-        kept.needed.add(job.id to shard)
-        job.told.getOrPut(shard) { HashSet() }.add(kept)
-    }
-
-    /** What rounds before [mark] told of the shard is not needed any more; a round of which nothing is needed goes. */
-    private fun unneeded(
-        job: Job,
-        shard: Int,
-        mark: Long,
-    ) {
-        val kept = job.told[shard] ?: return
-        kept.removeAll { round ->
-            if (round.mark >= mark) return@removeAll false
-            round.needed.remove(job.id to shard)
-            if (round.needed.isEmpty() && rounds.remove(round.key) != null) leftOver.add(Write.SweepRound(round.key))
-            true
-        }
-        if (kept.isEmpty()) job.told.remove(shard)
-    }
+    ) = ledger.replay(key, record, mark, nowMs, keep)
 
     /**
      * A round record of which not even the jobs can be told. What it planned is at work unknown to us, until its workers
@@ -165,17 +92,6 @@
         cluster.jobs[jobId]?.unreadable = true
     }
 
-    /** A machine that a plan names but nobody has described: its type is learned later, from its reports or the list. */
-    private fun unknownMachine(
-        id: String,
-        job: Job,
-        nowMs: Long,
-    ): Machine? {
-        val type = job.fits.firstNotNullOfOrNull { cluster.types[it] } ?: cluster.types.values.firstOrNull() ?: return null
-        val zone = job.spec.zone ?: type.zones.firstOrNull() ?: return null
-        return fleet.machine(id, type.name, zone, false, nowMs)?.also { it.guessed = true }
-    }
-
     /** Takes over what an earlier leader had learned; machines that it does not know are left out. */
     fun recall(hints: Hints) {
         cluster.runTimes.recall(hints.logRatio)
@@ -236,7 +152,7 @@
         val job = cluster.jobs.remove(id) ?: return
         job.told.keys
             .toList()
-            .forEach { unneeded(job, it, Long.MAX_VALUE) }
+            .forEach { ledger.unneeded(job, it, Long.MAX_VALUE) }
         // A line for each would fill the log of a leader that comes back and finds everything ended.
         if (job.activeAttempts.isNotEmpty()) log("$id is gone from the store, ${job.activeAttempts.size} tasks are left to their workers' reports")
         for (a in job.activeAttempts.toList()) cluster.release(a, nowMs, Cluster.DESCRIBED_ANEW)
@@ -275,67 +191,22 @@
         return fleet.redescribe(m, report.type, report.zone, report.spot, nowMs)
     }
 
-    /** Direct calls to make now: starts that were planned since the worker's last report. */
     fun directCalls(
         nowMs: Long,
         most: Int,
-    ): List<DirectCall> {
-        if (!loaded || most <= 0) return emptyList()
-        val calls = ArrayList<DirectCall>()
-        var probes = 0
-        for (m in cluster.machines.values) {
-            if (calls.size >= most) break
-            if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs) continue
-            if (nowMs - m.heardAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
-            if (m.hearing.state == HearingState.DEAF) {
-                // Each may take its whole time-out; those that have something to start must not wait behind them.
-                if (++probes <= PROBES_AT_ONCE && most > Tuning.MAX_DIRECT_CALLS / 2) probe(m, nowMs)?.let { calls.add(it) }
-                continue
-            }
-            if (m.count(AttemptState.PLANNED) == 0 || m.attempts.none { it.state == AttemptState.PLANNED && !it.job.withdrawn }) continue
-            val address = m.address ?: continue
-            val orders = reports.orders(m, checkin = false, nowMs)
-            if (orders.none { it is Order.Run }) continue
-            m.directInFlight = true
-            calls.add(DirectCall(m.id, address, cluster.term, m.season, orders))
-        }
-        return calls
-    }
-
-    /** A call without orders, to see whether a deaf machine hears again. As it starts nothing, it need not be fenced. */
-    private fun probe(
-        m: Machine,
-        nowMs: Long,
-    ): DirectCall? {
-        val address = m.address ?: return null
-        m.directInFlight = true
-        m.directPausedUntilMs = nowMs + Tuning.DEAF_PROBE_MS
-        return DirectCall(m.id, address, cluster.term, m.season, emptyList())
-    }
+    ): List<DirectCall> = if (loaded) direct.calls(nowMs, most) else emptyList()
 
     fun directAnswered(
         call: DirectCall,
         report: Report?,
         nowMs: Long,
-    ) {
-        val m = cluster.machines[call.machine] ?: return
-        m.directInFlight = false
-        if (report != null && report.machine == m.id) reports.take(m, report, checkin = false, nowMs)
-    }
+    ) = direct.answered(call, report, nowMs)
 
     fun directUnanswered(
         call: DirectCall,
         sent: Boolean,
         nowMs: Long,
-    ) {
-        val m = cluster.machines[call.machine] ?: return
-        m.directInFlight = false
-        if (call.orders.isEmpty()) return
-        m.directPausedUntilMs = nowMs + Tuning.DIRECT_PAUSE_MS
-        // The call may be carried out minutes later: until the worker has seen a higher term, absence proves nothing.
-        if (sent) m.unansweredTerm = maxOf(m.unansweredTerm, call.term)
-        log("no answer from ${m.id} to ${call.orders.size} orders of term ${call.term}; they will go with its next report")
-    }
+    ) = direct.unanswered(call, sent, nowMs)
 
     // ---- time ----
 
@@ -389,8 +260,8 @@
                 left -= 2
             }
         }
-        refresh(nowMs)
-        left -= addRounds(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
+        ledger.refresh(nowMs)
+        left -= ledger.add(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
         if (left > 0 && fleet.wishes.isNotEmpty()) {
             writes.add(Write.Intend(fleet.wishes.first()))
             left--
@@ -402,7 +273,7 @@
             left--
         }
         // While users wait for their writes, what is left of ended jobs may wait for them.
-        if (yielding && leftOver.size < MOST_LEFT_OVER) return if (writes.isEmpty()) null else Commit(cluster.term, writes)
+        if (yielding && ledger.leftOver.size < MOST_LEFT_OVER) return if (writes.isEmpty()) null else Commit(cluster.term, writes)
         for (job in cluster.jobs.values) {
             if (left <= 0) break
             if (job.withdrawn && job.activeAttempts.isEmpty() && !job.finishing) {
@@ -415,55 +286,10 @@
             writes.add(Write.Remember(hints()))
             left--
         }
-        writes.addAll(leftOver.take(maxOf(0, left - SWEEP_RESERVE)))
+        ledger.leftOver.take(maxOf(0, left - SWEEP_RESERVE)).mapTo(writes) { Write.SweepRound(it) }
         return if (writes.isEmpty()) null else Commit(cluster.term, writes)
     }
 
-    /**
-     * What was planned, with all that was reported since the last round; without plans, once something has waited for
-     * [patienceMs]. Returns how many writes that takes.
-     */
-    private fun addRounds(
-        writes: MutableList<Write>,
-        room: Int,
-        patienceMs: Long,
-        nowMs: Long,
-    ): Int {
-        if (room <= 0) return 0
-        val open = cluster.jobs.values.filter { !it.changed.isEmpty && !it.withdrawn && !it.finishing && !it.unreadable && !it.allDone }
-        val due = open.any { it.planning || (it.staleSinceMs > 0 && nowMs - it.staleSinceMs >= patienceMs) }
-        if (!due) return 0
-        val order = open.sortedWith(compareBy<Job>({ if (it.planning) 0 else 1 }, { it.spec.priority }).thenBy { it.staleSinceMs })
-        val maxBytes = (cluster.settings.valueKb * KB * Tuning.VALUE_FILL).toInt()
-        val most = minOf(room, MAX_ROUND_VALUES)
-        val records = Rounds.take(order, maxBytes, most, cluster.settings.txnOps * Tuning.GUARDS_PER_WRITE - GUARDS_KEPT)
-        for (record in records) {
-            val jobs = record.parts.mapTo(LinkedHashSet()) { it.job }.map { cluster.jobs.getValue(it) }
-            writes.add(Write.Round("${cluster.firstTerm}-${++roundNumber}", record, jobs))
-        }
-        for (job in order) if (job.changed.isEmpty) job.staleSinceMs = 0
-        return records.size
-    }
-
-    /**
-     * What an old round still tells is told anew by the next one, so that it may go and a successor has few to read. It
-     * costs no write of its own; most arrays have ended before.
-     */
-    private fun refresh(nowMs: Long) {
-        var left = REFRESH_AT_ONCE
-        for (round in rounds.values) {
-            if (left <= 0 || nowMs - round.writtenAtMs < Tuning.ROUND_KEEP_MS) return
-            if (round.refreshed) continue
-            round.refreshed = true
-            left--
-            for ((id, shard) in round.needed) {
-                val job = cluster.jobs[id] ?: continue
-                job.changeAll(shard)
-                if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
-            }
-        }
-    }
-
     fun committed(
         commit: Commit,
         result: CommitResult,
@@ -472,14 +298,14 @@
         when (result) {
             is CommitResult.Done -> commit.writes.forEach { written(it, result.revision, nowMs) }
             is CommitResult.Conflict -> {
-                putBack(commit.writes, nowMs)
+                ledger.putBack(commit.writes, nowMs)
                 result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, nowMs) } }
             }
-            CommitResult.Refused -> putBack(commit.writes, nowMs)
+            CommitResult.Refused -> ledger.putBack(commit.writes, nowMs)
             CommitResult.Unknown -> {
-                putBack(commit.writes, nowMs)
+                ledger.putBack(commit.writes, nowMs)
                 // It may be there all the same; its key must go in the end, whether or not it is.
-                commit.writes.forEach { if (it is Write.Round) leftOver.add(Write.SweepRound(it.key)) }
+                commit.writes.forEach { if (it is Write.Round) ledger.leftOver.add(it.key) }
                 raiseNow = true
             }
         }
@@ -489,21 +315,7 @@
     fun untaken(
         writes: List<Write>,
         nowMs: Long,
-    ) = putBack(writes, nowMs)
-
-    private fun putBack(
-        writes: List<Write>,
-        nowMs: Long,
-    ) {
-        for (w in writes) {
-            if (w !is Write.Round) continue
-            for (part in w.record.parts) {
-                val job = cluster.jobs[part.job] ?: continue
-                Rounds.putBack(job, part)
-                if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
-            }
-        }
-    }
+    ) = ledger.putBack(writes, nowMs)
 
     /** The job changed under us, by its user's abort; the view will tell. What was never written was never sent. */
     private fun conflicted(
@@ -520,8 +332,8 @@
         nowMs: Long,
     ) {
         when (write) {
-            is Write.Round -> roundWritten(write, revision, nowMs)
-            is Write.SweepRound -> leftOver.remove(write)
+            is Write.Round -> ledger.written(write, revision, nowMs)
+            is Write.SweepRound -> ledger.leftOver.remove(write.key)
             is Write.Finish -> {
                 write.job.finishing = true
                 log("${write.job.spec.id} is done")
@@ -562,27 +374,6 @@
         jobRemoved(job.spec.id, nowMs)
     }
 
-    private fun roundWritten(
-        write: Write.Round,
-        revision: Long,
-        nowMs: Long,
-    ) {
-        val kept = KeptRound(write.key, revision, nowMs)
-        for (part in write.record.parts) {
-            val job = cluster.jobs[part.job] ?: continue
-            part.done.forEach { job.doneWritten.set(it) }
-            for (g in part.plans) {
-                for (i in g.indices) {
-                    val a = job.attempt(i)?.takeIf { it.number == g.attempt && it.machine.id == g.machine } ?: continue
-                    if (a.state == AttemptState.PLANNING) a.moveTo(AttemptState.PLANNED, nowMs)
-                }
-            }
-            need(kept, job, part.shard)
-            if (part.full) unneeded(job, part.shard, revision)
-        }
-        if (kept.needed.isEmpty()) leftOver.add(Write.SweepRound(write.key)) else rounds[write.key] = kept
-    }
-
     // ---- the cloud ----
 
     fun cloudCall(nowMs: Long): CloudCall? = if (loaded) fleet.nextCall(nowMs) else null
@@ -619,23 +410,9 @@
     }
 
     private companion object {
-        const val KB = 1024
-
-        /** Old rounds whose rest is told anew in one go. */
-        const val REFRESH_AT_ONCE = 2
-
         /** Records that may wait to be swept while users wait; more would cost a successor too much time to read. */
         const val MOST_LEFT_OVER = 300
 
-        /** Round records in one transaction. */
-        const val MAX_ROUND_VALUES = 4
-
-        /** Guards of a transaction kept for what else it holds: the leader key, and jobs that end. */
-        const val GUARDS_KEPT = 20
-
-        /** Deaf machines that are asked in one go. */
-        const val PROBES_AT_ONCE = 2
-
         /** Writes of a transaction that are kept from sweeping, as something urgent may come at any moment. */
         const val SWEEP_RESERVE = 6
     }
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/jobs/RoundLedger.kt
@@ -0,0 +1,202 @@
+package mintfield.core.jobs
+
+import mintfield.core.Cluster
+import mintfield.core.Tuning
+import mintfield.core.Write
+import mintfield.core.fleet.FleetManager
+import mintfield.core.fleet.Machine
+
+/**
+ * Round records: takes them up in a replay, says what the next ones must tell, and which are needed no more. A record is
+ * needed for as long as it alone tells something of a shard of a job that lives.
+ */
+class RoundLedger(
+    private val cluster: Cluster,
+    private val fleet: FleetManager,
+) {
+    /** Keys of records that tell nothing any more; they go when there is room, and a successor finds what is left of them. */
+    val leftOver = LinkedHashSet<String>()
+
+    /** Round records in the store, the oldest first. */
+    private val rounds = LinkedHashMap<String, KeptRound>()
+    private var number = 0L
+
+    /**
+     * Takes a round's record as outputs of plan and done-set steps that need not run again. Rounds come in the order of
+     * their revisions: the later one tells the truth, as it was written with proof. [keep]: something in it cannot be read.
+     */
+    fun replay(
+        key: String,
+        record: RoundRecord,
+        mark: Long,
+        nowMs: Long,
+        keep: Boolean = false,
+    ) {
+        val kept = KeptRound(key, mark, nowMs)
+        for (part in record.parts) {
+            val job = cluster.jobs[part.job] ?: continue
+            part.freed.forEach { i -> job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) } }
+            part.plans.forEach { replayPlan(job, it, nowMs) }
+            part.done.forEach { replayDone(job, it, nowMs) }
+            need(kept, job, part.shard)
+        }
+        if (keep) return
+        if (kept.needed.isEmpty()) leftOver.add(key) else rounds[key] = kept
+    }
+
+    private fun replayDone(
+        job: Job,
+        index: Int,
+        nowMs: Long,
+    ) {
+        if (index >= job.spec.tasks) return
+        job.attempt(index)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) }
+        job.setDone(index)
+        job.doneWritten.set(index)
+    }
+
+    private fun replayPlan(
+        job: Job,
+        g: PlannedGroup,
+        nowMs: Long,
+    ) {
+        val m = cluster.machines[g.machine] ?: unknownMachine(g.machine, job, nowMs) ?: return
+        for (i in g.indices) {
+            if (i >= job.spec.tasks || job.done.get(i)) continue
+            job.attempt(i)?.let { cluster.release(it, nowMs, Cluster.DESCRIBED_ANEW) }
+            if (g.season < m.season) continue
+            val a = cluster.occupy(job, i, g.attempt, m, g.season)
+            a.everSent = true
+            a.moveTo(AttemptState.PLANNED, nowMs)
+        }
+    }
+
+    private fun need(
+        kept: KeptRound,
+        job: Job,
+        shard: Int,
+    ) {
+        kept.needed.add(job.id to shard)
+        job.told.getOrPut(shard) { HashSet() }.add(kept)
+    }
+
+    /** What rounds before [mark] told of the shard is not needed any more; a round of which nothing is needed goes. */
+    fun unneeded(
+        job: Job,
+        shard: Int,
+        mark: Long,
+    ) {
+        val kept = job.told[shard] ?: return
+        kept.removeAll { round ->
+            if (round.mark >= mark) return@removeAll false
+            round.needed.remove(job.id to shard)
+            if (round.needed.isEmpty() && rounds.remove(round.key) != null) leftOver.add(round.key)
+            true
+        }
+        if (kept.isEmpty()) job.told.remove(shard)
+    }
+
+    /** A machine that a plan names but nobody has described: its type is learned later, from its reports or the list. */
+    private fun unknownMachine(
+        id: String,
+        job: Job,
+        nowMs: Long,
+    ): Machine? {
+        val type = job.fits.firstNotNullOfOrNull { cluster.types[it] } ?: cluster.types.values.firstOrNull() ?: return null
+        val zone = job.spec.zone ?: type.zones.firstOrNull() ?: return null
+        return fleet.machine(id, type.name, zone, false, nowMs)?.also { it.guessed = true }
+    }
+
+    /**
+     * What was planned, with all that was reported since the last round; without plans, once something has waited for
+     * [patienceMs]. Returns how many writes that takes.
+     */
+    fun add(
+        writes: MutableList<Write>,
+        room: Int,
+        patienceMs: Long,
+        nowMs: Long,
+    ): Int {
+        if (room <= 0) return 0
+        val open = cluster.jobs.values.filter { !it.changed.isEmpty && !it.withdrawn && !it.finishing && !it.unreadable && !it.allDone }
+        val due = open.any { it.planning || (it.staleSinceMs > 0 && nowMs - it.staleSinceMs >= patienceMs) }
+        if (!due) return 0
+        val order = open.sortedWith(compareBy<Job>({ if (it.planning) 0 else 1 }, { it.spec.priority }).thenBy { it.staleSinceMs })
+        val maxBytes = (cluster.settings.valueKb * KB * Tuning.VALUE_FILL).toInt()
+        val most = minOf(room, MAX_ROUND_VALUES)
+        val records = Rounds.take(order, maxBytes, most, cluster.settings.txnOps * Tuning.GUARDS_PER_WRITE - GUARDS_KEPT)
+        for (record in records) {
+            val jobs = record.parts.mapTo(LinkedHashSet()) { it.job }.map { cluster.jobs.getValue(it) }
+            writes.add(Write.Round("${cluster.firstTerm}-${++number}", record, jobs))
+        }
+        for (job in order) if (job.changed.isEmpty) job.staleSinceMs = 0
+        return records.size
+    }
+
+    /**
+     * What an old round still tells is told anew by the next one, so that it may go and a successor has few to read. It
+     * costs no write of its own; most arrays have ended before.
+     */
+    fun refresh(nowMs: Long) {
+        var left = REFRESH_AT_ONCE
+        for (round in rounds.values) {
+            if (left <= 0 || nowMs - round.writtenAtMs < Tuning.ROUND_KEEP_MS) return
+            if (round.refreshed) continue
+            round.refreshed = true
+            left--
+            for ((id, shard) in round.needed) {
+                val job = cluster.jobs[id] ?: continue
+                job.changeAll(shard)
+                if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
+            }
+        }
+    }
+
+    fun putBack(
+        writes: List<Write>,
+        nowMs: Long,
+    ) {
+        for (w in writes) {
+            if (w !is Write.Round) continue
+            for (part in w.record.parts) {
+                val job = cluster.jobs[part.job] ?: continue
+                Rounds.putBack(job, part)
+                if (job.staleSinceMs == 0L) job.staleSinceMs = nowMs
+            }
+        }
+    }
+
+    fun written(
+        write: Write.Round,
+        revision: Long,
+        nowMs: Long,
+    ) {
+        val kept = KeptRound(write.key, revision, nowMs)
+        for (part in write.record.parts) {
+            val job = cluster.jobs[part.job] ?: continue
+            part.done.forEach { job.doneWritten.set(it) }
+            for (g in part.plans) {
+                for (i in g.indices) {
+                    val a = job.attempt(i)?.takeIf { it.number == g.attempt && it.machine.id == g.machine } ?: continue
+                    if (a.state == AttemptState.PLANNING) a.moveTo(AttemptState.PLANNED, nowMs)
+                }
+            }
+            need(kept, job, part.shard)
+            if (part.full) unneeded(job, part.shard, revision)
+        }
+        if (kept.needed.isEmpty()) leftOver.add(write.key) else rounds[write.key] = kept
+    }
+
+    private companion object {
+        const val KB = 1024
+
+        /** Old rounds whose rest is told anew in one go. */
+        const val REFRESH_AT_ONCE = 2
+
+        /** Round records in one transaction. */
+        const val MAX_ROUND_VALUES = 4
+
+        /** Guards of a transaction kept for what else it holds: the leader key, and jobs that end. */
+        const val GUARDS_KEPT = 20
+    }
+}
