--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -354,10 +354,13 @@
     // ---- workers ----
 
     /** The answer to a report; it may have to wait until the machine is not disowned any more. */
-    suspend fun report(report: Report): ReportAnswer {
+    suspend fun report(
+        report: Report,
+        relayed: Boolean,
+    ): ReportAnswer {
         val until = loop.nowMs() + Tuning.DISOWN_WAIT_MS
         while (true) {
-            val answer = scheduler.report(report, mayAct(), loop.nowMs())
+            val answer = scheduler.report(report, mayAct(), loop.nowMs(), relayed)
             if (answer != ReportAnswer.NotNow || loop.nowMs() > until) return answer
             kick()
             delay(Tuning.DISOWN_STEP_MS)
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -153,7 +153,7 @@
         val report = reader.report(body) ?: return Response.error(400, "not a report")
         if (direct) leader.heardDirectly(report)
         if (!leader.mayRenew(report, maybeAlone = peers.storeCut() || !peers.heardAny())) return Response(421, Json.obj { })
-        return when (val answer = leader.report(report)) {
+        return when (val answer = leader.report(report, relayed = !direct)) {
             ReportAnswer.Deposed -> {
                 leader.resign("${report.machine} has seen term ${report.termSeen}")
                 Response(421, Json.obj { })
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -32,6 +32,9 @@
     private val teams = settings.teams.associateBy { it.name }
     private var attemptNumber = 0L
 
+    /** Jobs that have failed and not succeeded. */
+    val troubled = LinkedHashSet<Job>()
+
     /** When this leader's replay ended. */
     var replayedAtMs = 0L
 
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -6,6 +6,7 @@
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.AttemptState
+import mintfield.core.jobs.Belief
 import mintfield.core.jobs.DirectLine
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.ReportHandler
@@ -54,6 +55,7 @@
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
+    private var lastReplicaRoundMs = Machine.NEVER
     private var lastHintsMs = Machine.NEVER
 
     /** Replay has ended; before, reports are answered with the term only. */
@@ -95,6 +97,7 @@
     /** Takes over what an earlier leader had learned; machines that it does not know are left out. */
     fun recall(hints: Hints) {
         cluster.runTimes.recall(hints.logRatio)
+        for ((id, trials) in hints.doubted) cluster.jobs[id]?.let { reports.blame.recall(it, trials) }
         for ((id, images) in hints.machineImages) {
             val m = cluster.machines[id] ?: continue
             images.forEach { image -> hints.imageGb[image]?.let { m.imageUsed(image, it) } }
@@ -108,7 +111,8 @@
             cluster.machines.values
                 .filter { it.cachedImages.isNotEmpty() }
                 .associate { it.id to it.cachedImages.keys.toList() }
-        return Hints(sizes, images, cluster.runTimes.ratios.toMap())
+        val doubted = cluster.troubled.filter { it.belief == Belief.DOUBTED }.associate { it.id to it.trials }
+        return Hints(sizes, images, cluster.runTimes.ratios.toMap(), doubted)
     }
 
     fun replayDone(nowMs: Long) {
@@ -150,6 +154,7 @@
         nowMs: Long,
     ) {
         val job = cluster.jobs.remove(id) ?: return
+        cluster.troubled.remove(job)
         job.told.keys
             .toList()
             .forEach { ledger.unneeded(job, it, Long.MAX_VALUE) }
@@ -164,6 +169,7 @@
         report: Report,
         mayAct: Boolean,
         nowMs: Long,
+        relayed: Boolean = false,
     ): ReportAnswer {
         if (report.termSeen > cluster.term) return ReportAnswer.Deposed
         if (!disowning.mayAnswer(report.machine)) return ReportAnswer.NotNow
@@ -173,6 +179,7 @@
             return bare
         }
         val m = known(report, nowMs) ?: return bare
+        m.relayed = relayed
         val fresh = reports.take(m, report, checkin = true, nowMs)
         m.answeredAtMs = nowMs
         if (!fresh || !mayAct) return bare
@@ -233,20 +240,8 @@
             return Commit(cluster.term, listOf(Write.RaiseTerm))
         }
         disowning.look(nowMs, wallMs)
-        val urgent = cluster.jobs.values.any { it.spec.shape == Shape.SERVICE && !it.withdrawn && it.waitingCount > 0 }
         val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
-        if (nowMs - lastRoundMs >=
-            if (urgent) {
-                Tuning.ROUND_MS
-            } else if (scarce) {
-                Tuning.ARRAY_ROUND_BUSY_MS
-            } else {
-                Tuning.ARRAY_ROUND_MS
-            }
-        ) {
-            lastRoundMs = nowMs
-            round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
-        }
+        place(nowMs, wallMs, scarce)
         val writes = ArrayList<Write>()
         // Machines wait for the one, and a successor's proof hangs on the other.
         disowning.unwanted.take(ops).mapTo(writes) { Write.Own(it) }
@@ -290,6 +285,25 @@
         return if (writes.isEmpty()) null else Commit(cluster.term, writes)
     }
 
+    /** A round, if one is due. Replicas do not wait for the next one of arrays, and do not bring it forward either. */
+    private fun place(
+        nowMs: Long,
+        wallMs: Long,
+        scarce: Boolean,
+    ) {
+        if (nowMs - lastRoundMs >= if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
+            lastRoundMs = nowMs
+            lastReplicaRoundMs = nowMs
+            reports.blame.look(nowMs)
+            round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
+            return
+        }
+        if (nowMs - lastReplicaRoundMs < Tuning.ROUND_MS) return
+        if (cluster.jobs.values.none { it.spec.shape == Shape.SERVICE && !it.withdrawn && nowMs >= it.notBeforeMs && it.askable > 0 }) return
+        // What finds no room now will hardly find any before the next round of all.
+        lastReplicaRoundMs = if (round.run(nowMs, wallMs, Tuning.ROUND_TASKS, replicasOnly = true) > 0) nowMs else nowMs + Tuning.ARRAY_ROUND_MS
+    }
+
     fun committed(
         commit: Commit,
         result: CommitResult,
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -144,6 +144,13 @@
     /** Milliseconds without direct commands to a worker that left one unanswered. */
     const val DIRECT_PAUSE_MS = 5_000L
 
+    /** Direct commands in a row without an answer from which on the network is blamed. Each leaves its machine in doubt until
+     *  the term has risen; hanging machines among healthy ones are rarely asked so many times in a row. */
+    const val DIRECT_LOST = 6
+
+    /** Milliseconds between tries after that. */
+    const val DIRECT_LOST_PAUSE_MS = 2_000L
+
     /** Direct commands under way at once, at the least, and as a share of the sockets: each needs one, and when dozens of
      *  machines hang each holds its place until it times out. */
     const val MAX_DIRECT_CALLS = 32
@@ -249,19 +256,40 @@
     /** Milliseconds between looks at timers of the core: silence, leases, rentals. */
     const val TICK_MS = 250L
 
-    /** Milliseconds before a job is tried again after a failure, doubled with each up to the maximum. */
+    /** Milliseconds before a job is tried again after a failure: whatever it was, another machine is to be tried. */
     const val FAILURE_PAUSE_MS = 500L
-    const val FAILURE_PAUSE_MAX_MS = 30_000L
 
-    /** Failures in a row, with no success, that set a machine aside. */
+    /** Failures in a row, with no success, that set a machine aside, and from which on a machine is blamed for good. */
     const val SICK_FAILURES = 3
 
-    /** Machines on which a job must fail, with no success anywhere, before the job itself is blamed. */
+    /** Jobs not known to be broken that a machine must have failed in a row to be returned on that alone. */
+    const val SICK_SUSPECTS = 4
+
+    /** Healthy machines on which a job must fail, with no success anywhere, before the job itself is doubted. */
     const val BAD_JOB_MACHINES = 3
 
-    /** Milliseconds that a suspected machine gets no tasks, after which it is tried again. */
+    /** Failures of a job without any success after which it gets few tasks at a time, and how many, until it is known whether
+     *  the job or the machines are at fault: enough to be tried on three machines at once. */
+    const val CAREFUL_FAILURES = 3
+    const val CAREFUL_TASKS = 4
+
+    /** Tasks at a time of a job that fails everywhere: one could be struck by a faulty machine. */
+    const val TRIAL_TASKS = 2
+
+    /** Milliseconds between tries of such a job, doubled with each up to the maximum: its user mostly cancels it soon, and a
+     *  job that could run after all should not wait for long. */
+    const val TRIAL_PAUSE_MS = 2_000L
+    const val TRIAL_PAUSE_MAX_MS = 30_000L
+
+    /** Milliseconds that a task must run, at the least, to speak for a job that has only failed. */
+    const val SOUND_RUN_MS = 5_000L
+
+    /** Milliseconds that a machine which failed several jobs gets no tasks, after which it is tried again. */
     const val SICK_PAUSE_MS = 20_000L
 
+    /** The same if it failed one job only, which may be at fault itself: until that has been tried elsewhere. */
+    const val SUSPECT_PAUSE_MS = 5_000L
+
     /** Waiting CPUs, as a share of all, from which on a slot is too dear to wait for a fetch; below, a task that could
      *  start is better off fetching than waiting. */
     const val CROWDED_SHARE = 0.4
--- a/src/main/kotlin/mintfield/core/fleet/Disowning.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Disowning.kt
@@ -67,12 +67,18 @@
     ) {
         if (nowMs - lastLookMs < Tuning.DISOWN_LOOK_MS) return
         lastLookMs = nowMs
-        for ((zone, machines) in cluster.machines.values
-            .filter { heardHere(it) }
-            .groupBy { it.zone }) {
-            val silent = machines.filter { it.state == MachineState.SILENT }
-            if (silent.size < Tuning.DISOWN_LEAST || silent.size <= machines.size * Tuning.SILENT_ZONE_SHARE) continue
-            disown(zone, silent.filter { it.attempts.isNotEmpty() && it.id !in standing }, nowMs, wallMs)
+        val zones =
+            cluster.machines.values
+                .filter { heardHere(it) }
+                .groupBy { it.zone }
+        val silentZones = zones.filterValues { mostlySilent(it) }
+        // If no zone is heard, it is this leader that is cut off from its workers. They are about to come back by way of the
+        // siblings, and a third of their lease is gone by then: nothing must be in their way.
+        if (silentZones.size < zones.size) {
+            for ((zone, machines) in silentZones) {
+                val silent = machines.filter { it.state == MachineState.SILENT }
+                disown(zone, silent.filter { it.attempts.isNotEmpty() && it.id !in standing }, nowMs, wallMs)
+            }
         }
         for (record in inherited.values.toList()) {
             if (wallMs - record.sinceWallMs > cluster.timings.leaseEndedMs + Tuning.WALL_MARGIN_MS) prove(record, nowMs)
@@ -85,6 +91,11 @@
         for (key in gone) if (standing.none { it.value == key && it.key in cluster.machines }) toDelete.add(key)
     }
 
+    private fun mostlySilent(machines: List<Machine>): Boolean {
+        val silent = machines.count { it.state == MachineState.SILENT }
+        return silent >= Tuning.DISOWN_LEAST && silent > machines.size * Tuning.SILENT_ZONE_SHARE
+    }
+
     private fun heardHere(m: Machine) = m.termSeen >= cluster.firstTerm && m.answeredAtMs != Machine.NEVER
 
     private fun disown(
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -5,6 +5,7 @@
 import mintfield.core.RentIntent
 import mintfield.core.Tuning
 import mintfield.core.jobs.AttemptState
+import mintfield.core.jobs.Job
 import mintfield.core.model.MachineType
 import mintfield.core.model.Shape
 
@@ -250,7 +251,7 @@
                 else -> {}
             }
             expire(m, nowMs)
-            val sick = m.blamed >= Tuning.SICK_FAILURES || (m.failures >= Tuning.SICK_FAILURES * 2 && m.failedJobs.size >= 2)
+            val sick = m.blamed >= Tuning.SICK_FAILURES || m.suspects.size >= Tuning.SICK_SUSPECTS
             if (m.state == MachineState.UP && sick) {
                 condemn(m, nowMs, "it fails what it is given")
             }
@@ -330,42 +331,79 @@
         var services = 0.0
         for (job in cluster.jobs.values) {
             if (job.withdrawn) continue
-            val want = (job.spec.tasks - job.doneTasks) * job.spec.cpus
+            val want = job.demand * job.spec.cpus
             if (job.spec.shape == Shape.SERVICE) services += want else arrays += want
         }
         var ordinary = 0.0
         var spot = 0.0
         for (m in cluster.machines.values) {
-            if (m.state == MachineState.CONDEMNED || m.state == MachineState.RETURNING || m.takenAtMs != null) continue
-            if (m.state == MachineState.SILENT || m.hearing.state == HearingState.DEAF) continue
+            if (!m.lasting) continue
             if (m.spot) spot += m.type.cpus else ordinary += m.type.cpus
         }
+        if (homeless()?.let { wishFor(it, nowMs) } == true) return
         val ordinaryShort = services * cluster.settings.operator.headroom - ordinary
         val allShort = (services + arrays) * cluster.settings.operator.headroom - ordinary - spot
         if (allShort <= 0 && ordinaryShort <= 0) return returnIdle(nowMs, -allShort)
         idleSince.clear()
-        val offer = choose(ordinaryShort > 0, nowMs) ?: return
+        val offer = choose(nowMs) { !it.spot || ordinaryShort <= 0 } ?: return
         val number = Math.ceil(maxOf(allShort, ordinaryShort) / offer.type.cpus).toInt().coerceIn(1, rentAtOnce())
-        val plea = "mf-${cluster.term}-${++pleaNumber}"
-        wishes.add(RentIntent(plea, offer.type.name, offer.zone, offer.spot, number))
-        log("wishing for $number ${offer.type.name} in ${offer.zone}${if (offer.spot) ", spot" else ""}: short of ${allShort.toInt()} CPUs")
+        wish(offer, number, "short of ${allShort.toInt()} CPUs")
+    }
+
+    private fun wish(
+        offer: Offer,
+        number: Int,
+        why: String,
+    ) {
+        wishes.add(RentIntent("mf-${cluster.term}-${++pleaNumber}", offer.type.name, offer.zone, offer.spot, number))
+        log("wishing for $number ${offer.type.name} in ${offer.zone}${if (offer.spot) ", spot" else ""}: $why")
+    }
+
+    private fun wishFor(
+        job: Job,
+        nowMs: Long,
+    ): Boolean {
+        val offer = choose(nowMs) { mayHold(job, it.type, it.zone, it.spot) } ?: return false
+        val number = Math.ceil(job.askable * job.spec.cpus / offer.type.cpus).toInt().coerceIn(1, rentAtOnce())
+        wish(offer, number, "no machine can hold a task of ${job.id}")
+        return true
+    }
+
+    private fun mayHold(
+        job: Job,
+        type: MachineType,
+        zone: String,
+        spot: Boolean,
+    ) = type.name in job.fits && (job.spec.zone == null || job.spec.zone == zone) && (job.spec.spot || !spot)
+
+    /** A job that no machine could hold even if it were empty, however many CPUs there are: its zone may have lost its last. */
+    private fun homeless(): Job? {
+        val served = HashSet<Triple<Set<String>, String?, Boolean>>()
+        for (job in cluster.jobs.values) {
+            if (job.withdrawn || job.askable == 0) continue
+            val key = Triple(job.fits, job.spec.zone, job.spec.spot)
+            if (key in served) continue
+            if (cluster.machines.values.none { it.lasting && !it.guessed && mayHold(job, it.type, it.zone, it.spot) }) return job
+            served.add(key)
+        }
+        return null
     }
 
     private fun rentAtOnce() = maxOf(Tuning.RENT_AT_ONCE, (cluster.machines.size * Tuning.RENT_SHARE).toInt()).coerceAtMost(Tuning.RENT_AT_MOST)
 
     private fun choose(
-        ordinaryOnly: Boolean,
         nowMs: Long,
+        fit: (Offer) -> Boolean,
     ): Offer? {
         val offers = ArrayList<Offer>()
         for (t in cluster.types.values) {
             for (z in t.zones) {
                 offers.add(Offer(t, z, false))
-                if (!ordinaryOnly) offers.add(Offer(t, z, true))
+                offers.add(Offer(t, z, true))
             }
         }
         return offers
-            .filter { (refusedUntil[it] ?: Machine.NEVER) <= nowMs }
+            .filter { fit(it) && (refusedUntil[it] ?: Machine.NEVER) <= nowMs }
             .minWithOrNull(
                 compareBy<Offer> { if (it.spot) it.type.spotPrice / it.type.cpus else it.type.price / it.type.cpus }
                     .thenBy { it.type.bootS }
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -70,6 +70,9 @@
      */
     var unansweredTerm = 0L
     var directInFlight = false
+
+    /** Its last report came by way of a sibling: most likely nothing that is sent to it straight would arrive. */
+    var relayed = false
     var directPausedUntilMs = 0L
 
     val attempts = LinkedHashSet<Attempt>()
@@ -99,14 +102,19 @@
 
     var lastReport: Report? = null
 
-    /** Failures since the last success, and the jobs that they struck. */
-    val failedJobs = HashSet<String>()
+    /** Failures since the last success, and the jobs that they struck of which it is not known whether they can succeed. */
+    val suspects = HashSet<String>()
     var failures = 0
 
     /** Of those, the ones of jobs whose tasks succeed elsewhere. */
     var blamed = 0
+
+    /** No tasks before that, since it does not hear well or refused some. */
     var avoidUntilMs = 0L
 
+    /** No tasks before that, since it fails them. */
+    var setAsideUntilMs = 0L
+
     private val images = LinkedHashMap<String, Double>(16, 0.75f, true)
     private var imagesGb = 0.0
 
@@ -213,6 +221,10 @@
     /** Images on the machine with their sizes, the least recently used first. */
     val cachedImages: Map<String, Double> get() = images
 
+    /** Whether it is, or will most likely be, of use for a while. */
+    val lasting: Boolean
+        get() = (state == MachineState.UP || state == MachineState.AWAITED) && takenAtMs == null && hearing.state != HearingState.DEAF
+
     /** Whether a task may be planned here now. */
     fun open(
         nowMs: Long,
@@ -223,6 +235,7 @@
             termSeen >= neededTerm &&
             hearing.sure &&
             nowMs >= avoidUntilMs &&
+            nowMs >= setAsideUntilMs &&
             nowMs - heardAtMs < freshMs
 
     companion object {
--- a/src/main/kotlin/mintfield/core/jobs/DirectLine.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectLine.kt
@@ -15,17 +15,24 @@
     private val reports: ReportHandler,
     private val log: (String) -> Unit,
 ) {
+    /** Calls in a row, to whatever machines, that got no answer. */
+    private var unanswered = 0
+    private var pausedUntilMs = Machine.NEVER
+
     /** Direct calls to make now: starts that were planned since the worker's last report. */
     fun calls(
         nowMs: Long,
         most: Int,
     ): List<DirectCall> {
-        if (most <= 0) return emptyList()
+        if (most <= 0 || nowMs < pausedUntilMs) return emptyList()
+        // While none gets through each further one would only be in doubt until the term has risen: one is enough to try.
+        val lost = unanswered >= Tuning.DIRECT_LOST
+        if (lost) pausedUntilMs = nowMs + Tuning.DIRECT_LOST_PAUSE_MS
         val calls = ArrayList<DirectCall>()
         var probes = 0
         for (m in cluster.machines.values) {
-            if (calls.size >= most) break
-            if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs) continue
+            if (calls.size >= if (lost) 1 else most) break
+            if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs || m.relayed) continue
             if (nowMs - m.heardAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
             if (m.hearing.state == HearingState.DEAF) {
                 // Each may take its whole time-out; those that have something to start must not wait behind them.
@@ -60,6 +67,7 @@
     ) {
         val m = cluster.machines[call.machine] ?: return
         m.directInFlight = false
+        unanswered = 0
         if (report != null && report.machine == m.id) reports.take(m, report, checkin = false, nowMs)
     }
 
@@ -71,6 +79,7 @@
         val m = cluster.machines[call.machine] ?: return
         m.directInFlight = false
         if (call.orders.isEmpty()) return
+        if (++unanswered == Tuning.DIRECT_LOST) log("$unanswered direct commands in a row got no answer: starts go with reports")
         m.directPausedUntilMs = nowMs + Tuning.DIRECT_PAUSE_MS
         // The call may be carried out minutes later: until the worker has seen a higher term, absence proves nothing.
         if (sent) m.unansweredTerm = maxOf(m.unansweredTerm, call.term)
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -1,8 +1,10 @@
 package mintfield.core.jobs
 
+import mintfield.core.Tuning
 import mintfield.core.fleet.Machine
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.JobSpec
+import mintfield.core.model.Shape
 import java.util.BitSet
 
 /** Where a planned task stands. */
@@ -117,8 +119,18 @@
     var measured = 0
     var measuredS = 0.0
 
+    /** Failures since the last success, and the machines that ever failed a task of it. */
     var failures = 0
     val failedOn = HashSet<String>()
+
+    /** While it is [Belief.UNTRIED]: machines that failed it, and how often. */
+    val accused = HashMap<Machine, Int>()
+    var belief = Belief.UNTRIED
+        private set
+
+    /** Tries since it was doubted, and the longest that a task was seen to run before it failed (milliseconds). */
+    var trials = 0
+    var longestFailMs = 0L
     var notBeforeMs = 0L
     var finishing = false
 
@@ -182,6 +194,29 @@
 
     private fun toldOf(index: Int) = done.get(index) || attempts.containsKey(index)
 
+    /** The only place where the belief changes. */
+    fun believe(next: Belief) {
+        check(next != Belief.UNTRIED && belief != next) { "$id: $belief to $next" }
+        belief = next
+        trials = 0
+    }
+
+    /** How many tasks are worth giving it at once: few while it has only failed. A gang goes as a whole. */
+    private val worth: Int
+        get() =
+            when {
+                spec.shape == Shape.GANG -> Int.MAX_VALUE
+                belief == Belief.DOUBTED -> Tuning.TRIAL_TASKS
+                belief == Belief.UNTRIED && failures >= Tuning.CAREFUL_FAILURES -> Tuning.CAREFUL_TASKS
+                else -> Int.MAX_VALUE
+            }
+
+    /** Tasks that may be planned now. */
+    val askable: Int get() = minOf(waitingCount, maxOf(0, if (worth == Int.MAX_VALUE) Int.MAX_VALUE else worth - attempts.size))
+
+    /** Tasks that room should be reckoned for: what is broken needs none but for its tries. */
+    val demand: Int get() = if (belief == Belief.DOUBTED) minOf(spec.tasks - doneCount, worth) else spec.tasks - doneCount
+
     /** Whether something waits to be written before it may start. */
     val planning: Boolean get() = byState[AttemptState.PLANNING.ordinal] > 0
 
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -18,6 +18,8 @@
     private val cluster: Cluster,
     private val log: (String) -> Unit,
 ) {
+    val blame = Blame(cluster, log)
+
     /**
      * Takes in [report]. [checkin] tells a worker's own report from the answer to a direct command: only the former
      * proves that the starts in the answer to the one before were either carried out or dropped.
@@ -109,7 +111,6 @@
                 if (a.state == AttemptState.PLANNING) return
                 if (a.state != AttemptState.STOPPING && a.state != AttemptState.RUNNING) {
                     a.moveTo(AttemptState.RUNNING, nowMs)
-                    if (spec.shape == Shape.SERVICE) a.job.failures = 0
                 }
             }
 
@@ -129,10 +130,7 @@
         when (cause) {
             EndCause.DONE -> {
                 m.imageUsed(job.spec.image, job.spec.imageGb)
-                m.failures = 0
-                m.blamed = 0
-                m.failedJobs.clear()
-                job.failures = 0
+                blame.succeeded(job, m, nowMs)
                 if (a.state == AttemptState.RUNNING) cluster.runTimes.learn(job, (nowMs - a.changedAtMs) / 1000.0)
                 cluster.markDone(job, a.index, nowMs)
                 cluster.release(a, nowMs, Cluster.DONE)
@@ -148,36 +146,13 @@
             }
 
             EndCause.ERROR, EndCause.NO_SUCH, EndCause.UNKNOWN -> {
-                cluster.release(a, nowMs, "failed: $cause")
-                failed(job, m, nowMs)
+                val afterMs = if (a.state == AttemptState.RUNNING) nowMs - a.changedAtMs else 0L
+                cluster.release(a, nowMs, "failed: $cause after $afterMs ms")
+                blame.failed(job, m, afterMs, nowMs)
             }
         }
     }
 
-    /**
-     * A machine that fails the tasks of several jobs is set aside, since it would, being empty, draw ever more tasks.
-     * A job that fails everywhere blames no machine.
-     */
-    private fun failed(
-        job: Job,
-        m: Machine,
-        nowMs: Long,
-    ) {
-        job.failures++
-        job.failedOn.add(m.id)
-        val badJob = job.failedOn.size >= Tuning.BAD_JOB_MACHINES && job.done.isEmpty
-        val pause = Tuning.FAILURE_PAUSE_MS shl minOf(job.failures / 4, 6)
-        job.notBeforeMs = nowMs + minOf(pause, Tuning.FAILURE_PAUSE_MAX_MS)
-        if (badJob) return
-        m.failures++
-        if (!job.done.isEmpty) m.blamed++
-        m.failedJobs.add(job.spec.id)
-        if (m.failures >= Tuning.SICK_FAILURES && nowMs >= m.avoidUntilMs) {
-            log("${m.id} fails tasks of ${m.failedJobs.size} jobs, ${m.failures} in a row: set aside")
-            m.avoidUntilMs = nowMs + Tuning.SICK_PAUSE_MS
-        }
-    }
-
     private fun absent(
         a: Attempt,
         checkin: Boolean,
--- a/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
+++ b/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
@@ -30,7 +30,7 @@
     /** Seconds in which all that waits would have begun, if every slot were fit for it. */
     private val backlogS = arrays.sumOf { waitingS(it) } / maxOf(1.0, arrayCpus)
 
-    private fun waitingS(job: Job) = job.waitingCount * job.spec.cpus * cluster.runTimes.expectedS(job)
+    private fun waitingS(job: Job) = job.askable * job.spec.cpus * cluster.runTimes.expectedS(job)
 
     private fun holders(spec: JobSpec): Holders =
         holders.getOrPut(spec.image to spec.spot) {
@@ -40,7 +40,7 @@
         }
 
     /** Whether the machines with the image of an array hold enough for all that it has waiting. */
-    fun enough(job: Job): Boolean = job.spec.shape == Shape.ARRAY && holders(job.spec).cpus >= job.waitingCount * job.spec.cpus * Tuning.IMAGE_ROOM
+    fun enough(job: Job): Boolean = job.spec.shape == Shape.ARRAY && holders(job.spec).cpus >= job.askable * job.spec.cpus * Tuning.IMAGE_ROOM
 
     /**
      * Seconds of fetching that a task of [job] may be given: no more than it would wait for room where its image is, or for
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -22,8 +22,10 @@
         nowMs: Long,
         wallMs: Long,
         most: Int,
+        replicasOnly: Boolean = false,
     ): Int {
-        val waiting = cluster.jobs.values.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.waitingCount > 0 }
+        val candidates = if (replicasOnly) cluster.jobs.values.filter { it.spec.shape == Shape.SERVICE } else cluster.jobs.values
+        val waiting = candidates.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.askable > 0 }
         if (waiting.isEmpty() || nowMs < cluster.holdUntilMs) return 0
         val open = cluster.machines.values.filter { it.open(nowMs, cluster.timings.freshReportMs) }
         if (open.isEmpty()) return 0
@@ -40,7 +42,7 @@
         }
         val setAside = turns.setAside(open)
         val patient = ArrayList<Job>()
-        val crowded = waiting.sumOf { it.waitingCount * it.spec.cpus } > open.sumOf { it.type.cpus } * Tuning.CROWDED_SHARE
+        val crowded = waiting.sumOf { it.askable * it.spec.cpus } > open.sumOf { it.type.cpus } * Tuning.CROWDED_SHARE
         for (job in order) {
             if (planned >= most) break
             val waits = crowded && images.enough(job)
@@ -82,7 +84,7 @@
         patienceS: Double,
     ): Int {
         val spec = job.spec
-        val allowed = minOf(most, cluster.allowance(spec))
+        val allowed = minOf(most, cluster.allowance(spec), job.askable)
         if (allowed <= 0) return 0
         // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
--- a/src/main/kotlin/mintfield/core/placement/Turns.kt
+++ b/src/main/kotlin/mintfield/core/placement/Turns.kt
@@ -26,15 +26,15 @@
         val turns = ArrayList<Pair<Job, Int>>()
         for (job in waiting) {
             if (job.spec.shape != Shape.ARRAY || job.begun || ageMs(job) < Tuning.BEGIN_MS) continue
-            turns.add(job to maxOf(1, (job.spec.tasks * Tuning.BEGIN_SHARE).toInt()))
+            turns.add(job to minOf(job.askable, maxOf(1, (job.spec.tasks * Tuning.BEGIN_SHARE).toInt())))
         }
         turns.sortWith(compareBy({ it.first.acceptedAtMs }, { it.first.spec.id }))
         val old = cluster.jobs.values.filter { it.spec.shape == Shape.ARRAY && !it.withdrawn && ageMs(it) > Tuning.OLD_MS }
         if (old.isEmpty()) return turns
         var room = capacity * Tuning.OLD_SHARE - old.sumOf { it.activeAttempts.size * it.spec.cpus }
         val order = compareBy<Job>({ cluster.usage(it.spec.team).cpus }, { it.acceptedAtMs.toDouble() }).thenBy { it.spec.id }
-        for (job in old.filter { it.waitingCount > 0 && it in waiting }.sortedWith(order)) {
-            val tasks = minOf(job.waitingCount, (room / maxOf(job.spec.cpus, LEAST_CPUS)).toInt())
+        for (job in old.filter { it in waiting }.sortedWith(order)) {
+            val tasks = minOf(job.askable, (room / maxOf(job.spec.cpus, LEAST_CPUS)).toInt())
             if (tasks <= 0) break
             turns.add(job to tasks)
             room -= tasks * job.spec.cpus
--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -3,6 +3,7 @@
 import mintfield.core.Cluster
 import mintfield.core.Tuning
 import mintfield.core.fleet.MachineState
+import mintfield.core.jobs.Belief
 import mintfield.core.jobs.Job
 import mintfield.core.model.JobSpec
 import mintfield.core.model.Objective
@@ -53,7 +54,7 @@
         val used = HashMap<String, DoubleArray>()
         for (job in cluster.jobs.values.sortedBy { it.acceptedAtMs }) {
             val team = cluster.team(job.spec.team) ?: continue
-            if (job.withdrawn || (team.cpus <= 0 && team.gpus <= 0)) continue
+            if (job.withdrawn || job.belief == Belief.DOUBTED || (team.cpus <= 0 && team.gpus <= 0)) continue
             val sum = used.getOrPut(job.spec.team) { DoubleArray(2) }
             sum[0] += job.spec.tasks * job.spec.cpus
             sum[1] += job.spec.tasks * job.spec.gpus
@@ -135,7 +136,7 @@
         for (job in cluster.jobs.values) if (job.ahead) room -= job.activeAttempts.size * job.spec.cpus
         val (first, others) =
             feasible.sortedWith(compareBy({ it.strictDue }, { it.job.spec.id })).partition { c ->
-                val cpus = c.job.waitingCount * c.job.spec.cpus
+                val cpus = c.job.askable * c.job.spec.cpus
                 (cpus <= room).also { if (it) room -= cpus }
             }
         first.forEach { it.job.ahead = true }
@@ -181,7 +182,7 @@
         val other = own ?: if (spec.jobClass in aims) null else DEFAULT_DUE_S + expected
         other?.let { job.acceptedAtMs + it * 1000 }?.takeIf { it >= least }?.let { dues.add(it) }
         dues.sort()
-        val left = spec.tasks - job.doneTasks - job.activeAttempts.size / 2.0
+        val left = maxOf(0.0, job.demand - job.activeAttempts.size / 2.0)
         return Claim(job, dues, strict, left * spec.cpus * expected, expected)
     }
 
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -150,6 +150,9 @@
                     writeObjectFieldStart("gb")
                     hints.imageGb.forEach { (k, v) -> writeNumberField(k, v) }
                     writeEndObject()
+                    writeObjectFieldStart("doubted")
+                    hints.doubted.forEach { (k, v) -> writeNumberField(k, v) }
+                    writeEndObject()
                     writeObjectFieldStart("machines")
                     for ((id, images) in machines) {
                         writeArrayFieldStart(id)
@@ -177,7 +180,7 @@
                     .orEmpty()
                     .filterIsInstance<String>()
             }
-        return Hints(numbers("gb"), machines, numbers("ratio"))
+        return Hints(numbers("gb"), machines, numbers("ratio"), numbers("doubted").mapValues { it.value.toInt() })
     }
 
     fun disowned(record: DisownRecord): ByteArray =
