--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -105,18 +105,24 @@
         used.gpus = maxOf(0.0, used.gpus - a.job.spec.gpus)
         // The record still names the old place. Left so, a successor would wait for proof from a machine long gone.
         if (a.job.staleSinceMs == 0L) a.job.staleSinceMs = nowMs
-        if (proof != DONE && proof != DESCRIBED_ANEW) log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
+        if (proof != DONE &&
+            proof != DESCRIBED_ANEW &&
+            proof != NEVER_SENT
+        ) {
+            log("released ${a.job.spec.id}/${a.index} attempt ${a.number} from ${a.machine.id}: $proof")
+        }
     }
 
-    /** Wants [a] gone: at once if it was never sent, else by halt and proof. */
+    /** Wants [a] gone: at once if it was never sent, else by halt and proof. [quietly]: a line tells of all its job already. */
     fun stop(
         a: Attempt,
         nowMs: Long,
         why: String,
+        quietly: Boolean = false,
     ) {
         if (!a.live || a.state == AttemptState.STOPPING) return
-        if (!a.everSent) return release(a, nowMs, "never sent; $why")
-        log("stopping ${a.job.spec.id}/${a.index} attempt ${a.number} on ${a.machine.id}: $why")
+        if (!a.everSent) return release(a, nowMs, if (quietly) NEVER_SENT else "never sent; $why")
+        if (!quietly) log("stopping ${a.job.spec.id}/${a.index} attempt ${a.number} on ${a.machine.id}: $why")
         a.moveTo(AttemptState.STOPPING, nowMs)
     }
 
@@ -133,6 +139,7 @@
 
     companion object {
         const val DONE = "done"
+        const val NEVER_SENT = "never sent"
         const val DESCRIBED_ANEW = "described anew"
     }
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -124,7 +124,7 @@
             job.changed.clear()
             job.staleSinceMs = 0
         }
-        for (job in cluster.jobs.values) if (job.withdrawn) job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn") }
+        for (job in cluster.jobs.values) if (job.withdrawn) job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn", quietly = true) }
     }
 
     // ---- jobs ----
@@ -135,7 +135,7 @@
     ) {
         val job = cluster.jobs[accepted.spec.id]
         if (job == null) {
-            cluster.jobs[accepted.spec.id] = Job(accepted)
+            cluster.jobs[accepted.spec.id] = Job(accepted).also { it.seenAtMs = nowMs }
             return
         }
         if (accepted.mark <= job.mark) return
@@ -144,7 +144,7 @@
         if (accepted.withdrawn && !job.withdrawn) {
             job.withdrawn = true
             log("${accepted.spec.id} is withdrawn, ${job.activeAttempts.size} tasks to stop")
-            job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn") }
+            job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn", quietly = true) }
         }
     }
 
@@ -180,6 +180,7 @@
         }
         val m = known(report, nowMs) ?: return bare
         m.relayed = relayed
+        if (m.state == MachineState.AWAITED && report.season == 1L && report.termSeen == 0L) fleet.boots.cameUp(m, nowMs - m.firstSeenAtMs, nowMs)
         val fresh = reports.take(m, report, checkin = true, nowMs)
         m.answeredAtMs = nowMs
         if (!fresh || !mayAct) return bare
@@ -350,7 +351,13 @@
             is Write.SweepRound -> ledger.leftOver.remove(write.key)
             is Write.Finish -> {
                 write.job.finishing = true
-                log("${write.job.spec.id} is done")
+                val job = write.job
+                val places = seconds(job.lastPlanAtMs - job.seenAtMs)
+                val images = seconds(job.lastRunAtMs - job.lastPlanAtMs)
+                val run = seconds(nowMs - job.lastRunAtMs)
+                log(
+                    "${job.id} (${job.spec.jobClass}, ${job.spec.tasks} tasks) is done: $places s to its last place, $images s to its last start, $run s from there",
+                )
                 finished(write.job, nowMs)
             }
             is Write.Sweep -> {
@@ -381,6 +388,8 @@
         lastRaiseMs = nowMs
     }
 
+    private fun seconds(ms: Long) = "%.1f".format(ms / 1000.0)
+
     private fun finished(
         job: Job,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -348,6 +348,17 @@
     /** Milliseconds by which the times of day of two controllers, and the steps of their timers, may differ at the most. */
     const val WALL_MARGIN_MS = 500L
 
+    /** Times its usual boot time after which a machine is late (protocol: usually 0.6 to 1.5 times), and milliseconds on top for
+     *  the request and the first report. */
+    const val LATE_TIMES = 1.75
+    const val LATE_SLACK_MS = 3_000L
+
+    /** Milliseconds for which a boot tells how long others will take: trouble of a cloud lasts for minutes. */
+    const val BOOTS_REMEMBERED_MS = 180_000L
+
+    /** Share of the CPUs there are that may be rented in place of late machines: if more are late, others would be as well. */
+    const val LATE_SHARE = 0.15
+
     /** A machine that is not up after this many times its usual boot time is returned. */
     const val BOOT_PATIENCE = 4.0
 
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -49,6 +49,7 @@
     private var pausedUntilMs = Machine.NEVER
     private var startedAtMs = Machine.NEVER
     private val idleSince = HashMap<String, Long>()
+    val boots = Boots()
 
     fun typesRead(
         types: List<MachineType>,
@@ -336,10 +337,17 @@
         }
         var ordinary = 0.0
         var spot = 0.0
+        var late = 0.0
         for (m in cluster.machines.values) {
             if (!m.lasting) continue
+            if (m.state == MachineState.AWAITED && m.attempts.isEmpty() && nowMs - m.firstSeenAtMs > boots.lateAfterMs(m.type, m.zone, nowMs)) {
+                late += m.type.cpus
+                continue
+            }
             if (m.spot) spot += m.type.cpus else ordinary += m.type.cpus
         }
+        // Of late machines a part is hoped for all the same, or trouble of the cloud would have us rent without end.
+        ordinary += maxOf(0.0, late - (ordinary + spot) * Tuning.LATE_SHARE)
         if (homeless()?.let { wishFor(it, nowMs) } == true) return
         val ordinaryShort = services * cluster.settings.operator.headroom - ordinary
         val allShort = (services + arrays) * cluster.settings.operator.headroom - ordinary - spot
--- a/src/main/kotlin/mintfield/core/jobs/Blame.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Blame.kt
@@ -96,7 +96,7 @@
         }
         job.accused.clear()
         // What has not begun would take slots and fetches only to fail. What runs may yet show that the job is sound.
-        job.activeAttempts.filter { it.state < AttemptState.RUNNING }.forEach { cluster.stop(it, nowMs, "the job fails everywhere") }
+        job.activeAttempts.filter { it.state < AttemptState.RUNNING }.forEach { cluster.stop(it, nowMs, "the job fails everywhere", quietly = true) }
     }
 
     /** The job can succeed, so the machines that failed it, and have not succeeded since, are to blame. */
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -134,6 +134,11 @@
     var notBeforeMs = 0L
     var finishing = false
 
+    /** When this leader first knew of it, and when the last of its tasks were planned and began to run: where time went. */
+    var seenAtMs = 0L
+    var lastPlanAtMs = 0L
+    var lastRunAtMs = 0L
+
     /** It went before others to meet a strict aim; what its tasks hold counts towards the share for such jobs. */
     var ahead = false
 
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -111,6 +111,7 @@
                 if (a.state == AttemptState.PLANNING) return
                 if (a.state != AttemptState.STOPPING && a.state != AttemptState.RUNNING) {
                     a.moveTo(AttemptState.RUNNING, nowMs)
+                    a.job.lastRunAtMs = nowMs
                 }
             }
 
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -199,6 +199,7 @@
     ) {
         cluster.attemptUsed(number)
         cluster.occupy(job, index, number, m, m.season)
+        job.lastPlanAtMs = nowMs
         if (job.spec.shape == Shape.SERVICE) {
             log("placing ${job.spec.id}/$index on ${m.id}, image ${if (m.hasImage(job.spec.image)) "there" else "to fetch"}")
         }
