--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -353,8 +353,8 @@
                 write.job.finishing = true
                 val job = write.job
                 val places = seconds(job.lastPlanAtMs - job.seenAtMs)
-                val images = seconds(job.lastRunAtMs - job.lastPlanAtMs)
-                val run = seconds(nowMs - job.lastRunAtMs)
+                val images = seconds(maxOf(0, job.lastRunAtMs - job.lastPlanAtMs))
+                val run = seconds(nowMs - maxOf(job.lastRunAtMs, job.lastPlanAtMs))
                 log(
                     "${job.id} (${job.spec.jobClass}, ${job.spec.tasks} tasks) is done: $places s to its last place, $images s to its last start, $run s from there",
                 )
