--- /dev/null
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -0,0 +1,89 @@
+package mintfield.app
+
+import kotlinx.coroutines.delay
+import mintfield.core.Scheduler
+import mintfield.core.Tuning
+import mintfield.io.cloud.CloudResult
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.store.Entry
+import mintfield.io.store.Keys
+import mintfield.io.store.Records
+import mintfield.io.store.StoreResult
+
+/** What a new leader reads before it plans anything: the recorded outputs of the steps of all unfinished jobs. */
+class Replay(
+    private val loop: EventLoop,
+    private val outside: Outside,
+    private val view: JobView,
+    private val scheduler: Scheduler,
+) {
+    private val store = outside.store
+
+    /** Rebuilds the picture: catalogue, jobs, intents, machines, recorded plans and done-sets; then work goes on. */
+    suspend fun run(listener: JobView.Listener) {
+        val startMs = loop.nowMs()
+        // Before anybody is answered: what an earlier leader gave its word on must hold.
+        for (e in readAll(Keys.DISOWNED)) {
+            val key = e.key.removePrefix(Keys.DISOWNED)
+            Records.parseDisowned(key, e.data)?.let { scheduler.disowning.replay(it) } ?: scheduler.disowning.replayUnreadable(key)
+        }
+        scheduler.disowning.read = true
+        while (outside.types.isEmpty()) {
+            outside.readTypes()
+            if (outside.types.isEmpty()) delay(Tuning.CLOUD_RETRY_MS)
+        }
+        scheduler.types(outside.types.values.toList(), loop.nowMs())
+        while (!view.current()) delay(Tuning.STORE_RETRY_MS)
+        val intents = readAll(Keys.INTENTS)
+        val rounds = readAll(Keys.ROUNDS).sortedBy { it.mark }
+        readMachines()
+        val hints = (store.get(Keys.HINTS, urgent = true) as? StoreResult.Ok)?.value?.let { Records.parseHints(it.data) }
+        // Abort and accept of other nodes may have come meanwhile; from here on the listener tells them.
+        while (!view.current()) delay(Tuning.STORE_RETRY_MS)
+        val now = loop.nowMs()
+        view.listener = listener
+        view.live.values.forEach { scheduler.jobChanged(it, now) }
+        intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(Keys.INTENTS), it.data)) }
+        for (r in rounds) {
+            var keep = false
+            val record =
+                Records.parseRound(r.data) { job ->
+                    keep = true
+                    Log.error("${r.key}: what the round of revision ${r.mark} says of ${job ?: "some job"} cannot be read; it is kept")
+                    if (job == null) scheduler.replayUnreadableRound(now) else scheduler.replayUnreadableJob(job)
+                }
+            scheduler.replayRound(r.key.removePrefix(Keys.ROUNDS), record, r.mark, now, keep)
+        }
+        hints?.let { scheduler.recall(it) }
+        scheduler.replayDone(now)
+        Log.info(
+            "replayed ${view.live.size} jobs, ${rounds.size} rounds, ${intents.size} intents, " +
+                "${scheduler.cluster.machines.size} machines in ${loop.nowMs() - startMs} ms",
+        )
+    }
+
+    private suspend fun readAll(prefix: String): List<Entry> {
+        val found = ArrayList<Entry>()
+        while (true) {
+            val page = (store.list(prefix, found.lastOrNull()?.key, Tuning.PAGE) as? StoreResult.Ok)?.value
+            if (page == null) {
+                delay(Tuning.STORE_RETRY_MS)
+                continue
+            }
+            found.addAll(page.entries)
+            if (!page.hasNext || page.entries.isEmpty()) return found
+        }
+    }
+
+    /** One reading of the machine list for all replayed jobs; without it, reports must tell the machines. */
+    private suspend fun readMachines() {
+        var after: String? = null
+        while (true) {
+            val page = (outside.cloud.list(after) as? CloudResult.Ok)?.value ?: return
+            scheduler.listed(page.first, page.second, loop.nowMs())
+            if (!page.second) return
+            after = page.first.lastOrNull()?.id ?: return
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/StoreWrites.kt
@@ -0,0 +1,42 @@
+package mintfield.app
+
+import mintfield.core.Write
+import mintfield.core.model.FinalState
+import mintfield.core.model.Stage
+import mintfield.io.store.Guard
+import mintfield.io.store.KeyWrite
+import mintfield.io.store.Keys
+import mintfield.io.store.Records
+
+/** How the leader's writes look in the state service, and what guards them besides the leader key. */
+class StoreWrites(
+    private val valueKb: Double,
+    private val lease: Long,
+    private val leaderKey: () -> ByteArray,
+) {
+    fun guardsOf(w: Write): List<Guard> =
+        when (w) {
+            is Write.Round -> w.jobs.map { Guard(Keys.live(it.spec.id), it.mark) }
+            is Write.Finish -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
+            is Write.Sweep -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
+            else -> emptyList()
+        }
+
+    fun keyWrites(w: Write): List<KeyWrite> =
+        when (w) {
+            is Write.Round -> listOf(KeyWrite.Put(Keys.round(w.key), Records.round(w.record)))
+            is Write.SweepRound -> listOf(KeyWrite.Delete(Keys.round(w.key)))
+            is Write.Finish ->
+                listOf(
+                    KeyWrite.Put(Keys.final(w.job.spec.id), Records.final(FinalState(Stage.DONE, w.job.spec.tasks))),
+                    KeyWrite.Delete(Keys.live(w.job.spec.id)),
+                )
+            is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
+            is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
+            is Write.Remember -> listOf(KeyWrite.Put(Keys.HINTS, Records.hints(w.hints, (valueKb * 1000).toInt())))
+            is Write.Disown -> listOf(KeyWrite.Put(Keys.DISOWNED + w.record.key, Records.disowned(w.record)))
+            is Write.Own -> listOf(KeyWrite.Delete(Keys.DISOWNED + w.key))
+            is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
+            Write.RaiseTerm -> listOf(KeyWrite.Put(Keys.LEADER, leaderKey(), lease))
+        }
+}
