--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -325,8 +325,7 @@
             if (mayAct()) scheduler.tick(loop.nowMs())
             if (loop.nowMs() >= nextSummary) {
                 nextSummary = loop.nowMs() + Tuning.SUMMARY_MS
-                Log.info(scheduler.summary())
-                outside.metrics.takeSummary().let { if (it.isNotEmpty()) Log.info(it) }
+                Log.info(scheduler.summary(loop.nowMs()))
             }
             delay(Tuning.TICK_MS)
         }
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -55,6 +55,7 @@
             scope.launch { member.run() }
             scope.launch { prepare() }
             scope.launch { lookForStore() }
+            scope.launch { watchOver() }
             peers.start()
             Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
         }
@@ -83,6 +84,26 @@
         }
     }
 
+    /** What a person on call must be able to see of any controller: that it stood still, what it is asked, who is silent. */
+    private suspend fun watchOver() {
+        var place: String? = null
+        var summaryAt = loop.nowMs() + Tuning.SUMMARY_MS
+        while (true) {
+            val from = loop.nowMs()
+            delay(Tuning.WATCH_MS)
+            val lost = loop.nowMs() - from - Tuning.WATCH_MS
+            if (lost > Tuning.STOOD_STILL_MS) Log.info("this controller stood still for $lost ms")
+            val now = if (member.leader != null) parkedAt() else null
+            if (now != place) {
+                place = now
+                Log.info(if (now != null) "the controller after this one is silent: workers report to $now" else "workers may report here again")
+            }
+            if (loop.nowMs() < summaryAt) continue
+            summaryAt = loop.nowMs() + Tuning.SUMMARY_MS
+            outside.metrics.takeSummary().let { if (it.isNotEmpty()) Log.info(it) }
+        }
+    }
+
     private suspend fun client(request: HttpMessage): Response {
         val path = request.second
         return when {
--- a/src/main/kotlin/mintfield/app/Rehearsal.kt
+++ b/src/main/kotlin/mintfield/app/Rehearsal.kt
@@ -84,7 +84,7 @@
             scheduler.committed(commit, mintfield.core.CommitResult.Done(3), 110)
         }
         scheduler.directCalls(120, 4).forEach { WorkerCodec.orders(it.term, it.season, it.orders) }
-        scheduler.summary()
+        scheduler.summary(120)
     }
 
     private const val JOB =
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -413,7 +413,7 @@
     fun runningCount(job: Job): Int = job.count(AttemptState.RUNNING)
 
     /** One line for the log: how much runs where. */
-    fun summary(): String {
+    fun summary(nowMs: Long): String {
         val by =
             cluster.machines.values
                 .groupingBy { it.state }
@@ -422,6 +422,7 @@
             cluster.machines.values
                 .filter { it.state == MachineState.UP }
                 .sumOf { it.freeCpus }
+        val doubted = cluster.troubled.count { it.belief == Belief.DOUBTED }
         val waiting =
             cluster.jobs.values
                 .filter { !it.withdrawn }
@@ -431,7 +432,8 @@
                 .flatMap { it.attempts }
                 .groupingBy { it.state }
                 .eachCount()
-        return "term ${cluster.term}: ${cluster.jobs.size} jobs, attempts $attempts, $waiting waiting, machines $by, ${free.toInt()} CPUs free"
+        return "term ${cluster.term}: ${cluster.jobs.size} jobs, $doubted of them fail everywhere, attempts $attempts, $waiting waiting, " +
+            "machines $by, ${fleet.lateCount(nowMs)} late, ${free.toInt()} CPUs free"
     }
 
     private companion object {
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -465,6 +465,11 @@
     /** Milliseconds of refusal by the store after which a node whose siblings are served stops taking users. */
     const val ALONE_REFUSED_MS = 2_000L
 
+    /** Milliseconds between looks at the clock and the siblings for the log, and by how much such a pause must be longer to speak
+     *  of a controller that stood still: a busy one is late by some hundreds. */
+    const val WATCH_MS = 500L
+    const val STOOD_STILL_MS = 1_500L
+
     /** Milliseconds between summaries in the log. */
     const val SUMMARY_MS = 10_000L
 }
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -340,7 +340,7 @@
         var late = 0.0
         for (m in cluster.machines.values) {
             if (!m.lasting) continue
-            if (m.state == MachineState.AWAITED && m.attempts.isEmpty() && nowMs - m.firstSeenAtMs > boots.lateAfterMs(m.type, m.zone, nowMs)) {
+            if (late(m, nowMs)) {
                 late += m.type.cpus
                 continue
             }
@@ -397,6 +397,14 @@
         return null
     }
 
+    private fun late(
+        m: Machine,
+        nowMs: Long,
+    ) = m.state == MachineState.AWAITED && m.attempts.isEmpty() && nowMs - m.firstSeenAtMs > boots.lateAfterMs(m.type, m.zone, nowMs)
+
+    /** Machines that are late to come up. */
+    fun lateCount(nowMs: Long): Int = cluster.machines.values.count { late(it, nowMs) }
+
     private fun rentAtOnce() = maxOf(Tuning.RENT_AT_ONCE, (cluster.machines.size * Tuning.RENT_SHARE).toInt()).coerceAtMost(Tuning.RENT_AT_MOST)
 
     private fun choose(
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -114,6 +114,7 @@
 
     private val startedAtMs = loop.nowMs()
     private val heard = HashMap<String, Heard>()
+    private val refusedAtMs = HashMap<String, Long>()
     private var jobs: Map<String, Progress> = emptyMap()
     private var silentSinceMs: Long? = null
     private var refusedSinceMs: Long? = null
@@ -122,10 +123,10 @@
     private val lanes = settings.siblings.associate { it.member to Semaphore(Tuning.RELAY_LANES) }
 
     fun start() {
-        for (client in clients.values) {
+        for ((sibling, client) in clients) {
             scope.launch {
                 while (true) {
-                    send(client)
+                    send(sibling, client)
                     delay(Tuning.PEER_NOTE_MS)
                 }
             }
@@ -134,11 +135,16 @@
 
     /** Tells all siblings now, without waiting for the next second. */
     fun announce() {
-        for (client in clients.values) scope.launch { send(client) }
+        for ((sibling, client) in clients) scope.launch { send(sibling, client) }
     }
 
-    private suspend fun send(client: HttpClient) {
-        client.call("POST", "/peer", ProtoBuf.encodeToByteArray(PeerNote.serializer(), note()), Tuning.PEER_TIMEOUT_MS)
+    private suspend fun send(
+        sibling: String,
+        client: HttpClient,
+    ) {
+        val from = loop.nowMs()
+        val reply = client.call("POST", "/peer", ProtoBuf.encodeToByteArray(PeerNote.serializer(), note()), Tuning.PEER_TIMEOUT_MS)
+        if (reply is Reply.None && loop.nowMs() - from < Tuning.PEER_TIMEOUT_MS / 2) refusedAtMs[sibling] = loop.nowMs()
     }
 
     private fun note(): PeerNote {
@@ -232,8 +238,15 @@
     /** Whether any sibling has been heard lately. */
     fun heardAny(): Boolean = heard.values.any { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS }
 
-    /** Whether [sibling] has been silent for longer than a restart takes; right after the start of this node none is. */
-    fun silent(sibling: String): Boolean = loop.nowMs() - (heard[sibling]?.atMs ?: startedAtMs) > Tuning.PARK_AFTER_MS
+    /**
+     * Whether [sibling] has been silent for longer than a restart takes; right after the start of this node none is. One that
+     * refuses connections is not silent: whoever tries it there is told at once.
+     */
+    fun silent(sibling: String): Boolean {
+        val now = loop.nowMs()
+        if (now - (refusedAtMs[sibling] ?: startedAtMs) < Tuning.PEER_FRESH_MS) return false
+        return now - (heard[sibling]?.atMs ?: startedAtMs) > Tuning.PARK_AFTER_MS
+    }
 
     fun heardNow(sibling: String): Boolean = heard[sibling]?.let { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS } ?: false
 
--- /dev/null
+++ b/src/test/kotlin/mintfield/CutFromWorkersTest.kt
@@ -0,0 +1,106 @@
+package mintfield
+
+import mintfield.core.CommitResult
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.Tuning
+import mintfield.core.Write
+import mintfield.core.model.ReportedState
+import mintfield.core.model.ReportedTask
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** A leader that keeps the state service and its siblings and loses its workers. */
+class CutFromWorkersTest {
+    private val zones = listOf("north", "south")
+    private var tally = 0L
+
+    private fun scheduler(): Scheduler {
+        val s = Scheduler(Fixtures.settings, 1) {}
+        s.types(listOf(Fixtures.box), 0)
+        s.replayDone(0)
+        repeat(24) { s.hear("m-%03d".format(it), 1_000) }
+        s.jobChanged(Fixtures.accepted(Fixtures.spec("wk-000001", tasks = 96), 1), 1_000)
+        s.commit(1_000)
+        return s
+    }
+
+    private fun Scheduler.hear(
+        machine: String,
+        nowMs: Long,
+        relayed: Boolean = false,
+        parked: Boolean = false,
+    ): ReportAnswer {
+        val zone = zones[machine.takeLast(1).toInt() % 2]
+        val tasks =
+            cluster.machines[machine]
+                ?.attempts
+                .orEmpty()
+                .filter { it.everSent }
+                .map { ReportedTask(cluster.taskId(it), it.number, ReportedState.RUNNING, null) }
+        return report(Fixtures.report(machine, ++tally, cluster.term, *tasks.toTypedArray(), zone = zone), true, nowMs, relayed, parked)
+    }
+
+    private fun Scheduler.commit(nowMs: Long): List<Write> =
+        nextCommit(nowMs, nowMs, 16)
+            ?.also { committed(it, CommitResult.Done(nowMs), nowMs) }
+            ?.writes
+            .orEmpty()
+
+    private fun Scheduler.disowned(heard: Set<String>): Int {
+        cluster.machines.keys
+            .toList()
+            .forEach { hear(it, 2_000) }
+        heard.forEach { hear(it, 7_000) }
+        tick(7_000)
+        return commit(7_000).filterIsInstance<Write.Disown>().sumOf { it.record.machines.size }
+    }
+
+    @Test
+    fun `if no zone is heard none is disowned`() {
+        // Guards against making every worker's report through a sibling wait for a transaction, with a third of its lease gone.
+        assertEquals(0, scheduler().disowned(emptySet()))
+        val south = (1..23 step 2).map { "m-%03d".format(it) }.toSet()
+        assertEquals(12, scheduler().disowned(south), "one zone silent while another is heard: a cut of that zone")
+    }
+
+    @Test
+    fun `direct commands stop when none gets through`() {
+        // Guards against starts in doubt on every machine: each holds its task until the term has risen.
+        val s = scheduler()
+        val first = s.directCalls(1_100, 32)
+        assertEquals(24, first.size)
+        first.take(Tuning.DIRECT_LOST).forEach { s.directUnanswered(it, sent = true, 2_600) }
+        s.jobChanged(Fixtures.accepted(Fixtures.spec("wk-000002", tasks = 4), 2), 2_600)
+        assertTrue(s.directCalls(2_700, 32).size <= 1, "one to try")
+        assertEquals(0, s.directCalls(2_800, 32).size)
+        s.directAnswered(first.last(), null, 2_900)
+        assertTrue(s.directCalls(2_700 + Tuning.DIRECT_LOST_PAUSE_MS, 32).size <= 32)
+    }
+
+    @Test
+    fun `a machine heard through a sibling gets its starts with reports`() {
+        val s = scheduler()
+        s.cluster.machines.keys
+            .toList()
+            .forEach { s.hear(it, 1_200, relayed = it == "m-000") }
+        val called = s.directCalls(1_300, 32).map { it.machine }
+        assertTrue("m-000" !in called)
+        s.cluster.machines.keys
+            .toList()
+            .forEach { s.hear(it, 1_400, relayed = true, parked = true) }
+        s.jobChanged(Fixtures.accepted(Fixtures.spec("wk-000002", tasks = 4), 2), 1_400)
+        assertEquals(Order.run(s, "m-000"), true, "one that was sent to the sibling can be reached")
+    }
+
+    private object Order {
+        fun run(
+            s: Scheduler,
+            machine: String,
+        ): Boolean =
+            s.cluster.machines
+                .getValue(machine)
+                .let { it.relayed && it.parked }
+    }
+}
