--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -26,6 +26,7 @@
     private val store: StoreClient,
     private val scope: CoroutineScope,
     private val checkGapMs: Long,
+    private val nowMs: () -> Long,
     private val fitsAnew: (AcceptedJob) -> List<String>,
 ) {
     interface Listener {
@@ -45,6 +46,9 @@
             .maximumSize(Tuning.MAX_CACHED_FINALS)
             .build()
     var listener: Listener? = null
+
+    /** Told when the view shows all that had happened by a moment, in steady milliseconds. */
+    var onComplete: (Long) -> Unit = {}
     var loaded = false
         private set
     private var revision = 0L
@@ -93,8 +97,9 @@
 
     private suspend fun check(): Boolean {
         if (!loaded) return load()
+        val sentAtMs = nowMs()
         return when (val r = store.watch(Keys.JOBS, revision, 0)) {
-            is StoreResult.Ok -> apply(r.value)
+            is StoreResult.Ok -> apply(r.value, sentAtMs)
             else -> false
         }
     }
@@ -106,8 +111,9 @@
                 delay(Tuning.STORE_RETRY_MS)
                 continue
             }
+            val sentAtMs = nowMs()
             when (val r = store.watch(Keys.JOBS, revision, Tuning.JOBS_WATCH_MS, urgent = true)) {
-                is StoreResult.Ok -> apply(r.value)
+                is StoreResult.Ok -> apply(r.value, sentAtMs)
                 else -> delay(Tuning.STORE_RETRY_MS)
             }
         }
@@ -115,6 +121,7 @@
 
     /** Reads all unfinished jobs; changes after the first page come by the next watch. */
     suspend fun load(): Boolean {
+        val sentAtMs = nowMs()
         var after: String? = null
         var first = -1L
         val found = HashMap<String, AcceptedJob>()
@@ -128,7 +135,7 @@
             if (!page.hasNext) break
             after = page.entries.lastOrNull()?.key ?: break
         }
-        if (loaded && revision >= first) return true
+        if (loaded && revision >= first) return true.also { onComplete(sentAtMs) }
         val gone = live.keys - found.keys
         live.clear()
         live.putAll(found)
@@ -137,10 +144,14 @@
         unreadable.removeAll(found.keys)
         gone.forEach { listener?.removed(it) }
         found.values.forEach { listener?.changed(it) }
+        onComplete(sentAtMs)
         return true
     }
 
-    private suspend fun apply(changes: Changes): Boolean {
+    private suspend fun apply(
+        changes: Changes,
+        sentAtMs: Long,
+    ): Boolean {
         if (changes.tooOld) {
             loaded = false
             return load()
@@ -156,6 +167,7 @@
             }
         }
         revision = maxOf(revision, changes.revision)
+        onComplete(sentAtMs)
         return true
     }
 
--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -13,7 +13,7 @@
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
 import mintfield.core.Write
-import mintfield.core.leadership.Keeping
+import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.LeaseClock
 import mintfield.core.leadership.Roundabouts
 import mintfield.core.model.AcceptedJob
@@ -39,11 +39,12 @@
     private val lease: Long,
     private val clock: LeaseClock,
     term: Long,
+    private val horizon: CancellationHorizon,
     private val deposed: (String) -> Unit,
 ) : JobView.Listener {
     private val settings = outside.settings
     private val store = outside.store
-    val scheduler = Scheduler(settings, term) { Log.info(it) }
+    val scheduler = Scheduler(settings, term, { view.live[it]?.withdrawn == true }) { Log.info(it) }
     private val writes = Pacer(loop, settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
     private val storeWrites = StoreWrites(settings.valueKb, lease) { leaderValue(settings.member, nonce) }
     private val replay = Replay(loop, outside, view, scheduler)
@@ -55,16 +56,6 @@
 
     fun leaseLeftMs() = clock.leftMs(loop.nowMs())
 
-    private val keeping = Keeping(settings)
-
-    /** Whether the worker of [report] may be renewed, though this leader may be cut off alone. */
-    fun mayRenew(
-        report: Report,
-        maybeAlone: Boolean,
-    ): Boolean =
-        leaseLeftMs() > 0 ||
-            keeping.mayRenew(clock.sinceContactMs(loop.nowMs()), maybeAlone, maybeAlone && scheduler.holdsWithdrawn(report))
-
     fun resign(why: String) = deposed(why)
 
     private val roundabouts = Roundabouts(scheduler.cluster.timings.relayAfterMs)
@@ -269,7 +260,7 @@
     ): ReportAnswer {
         val until = loop.nowMs() + Tuning.DISOWN_WAIT_MS
         while (true) {
-            val answer = scheduler.report(report, mayAct(), loop.nowMs(), relayed, parked)
+            val answer = scheduler.report(report, mayAct(), loop.nowMs(), relayed, parked, horizon.upToMs())
             if (answer != ReportAnswer.NotNow || loop.nowMs() > until) return answer
             kick()
             delay(Tuning.DISOWN_STEP_MS)
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.plus
 import mintfield.core.Tuning
+import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.LeaseClock
 import mintfield.core.leadership.Role
 import mintfield.core.leadership.Standing
@@ -27,6 +28,7 @@
     private val scope: CoroutineScope,
     private val outside: Outside,
     private val view: JobView,
+    private val horizon: CancellationHorizon,
     private val announce: () -> Unit,
 ) {
     private val store = outside.store
@@ -143,7 +145,7 @@
         standing.moveTo(Role.LEADING, me)
         Log.info("leading with term $term")
         val terms = scope + SupervisorJob(scope.coroutineContext[Job])
-        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term) { why -> depose(terms, why) }
+        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term, horizon) { why -> depose(terms, why) }
         leader = fresh
         fresh.start()
         announce()
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -5,6 +5,9 @@
 import mintfield.core.ReportAnswer
 import mintfield.core.Timings
 import mintfield.core.Tuning
+import mintfield.core.leadership.CancellationHorizon
+import mintfield.core.leadership.CancellationLog
+import mintfield.core.leadership.CancellationPage
 import mintfield.core.leadership.Detours
 import mintfield.core.leadership.Parking
 import mintfield.core.leadership.WorkerRounds
@@ -22,6 +25,7 @@
 import mintfield.io.peer.PeerLink
 import mintfield.io.worker.WorkerCodec
 import java.nio.channels.AsynchronousChannelGroup
+import kotlin.random.Random
 
 /** One controller: everything wired together. */
 class Node(
@@ -33,12 +37,14 @@
     private val outside = Outside(settings, loop, group)
     private val checkGapMs = (1000 / (settings.stateRps * Tuning.CHECK_SHARE)).toLong()
     private val view =
-        JobView(outside.store, scope, checkGapMs) { fittingTypes(it.spec, outside.types.values) }
-    private val member = Member(loop, scope, outside, view) { peers.announce() }
+        JobView(outside.store, scope, checkGapMs, loop::nowMs) { fittingTypes(it.spec, outside.types.values) }
+    private val horizon = CancellationHorizon(settings.siblings.map { it.member })
+    private val cancellations = CancellationLog(Random.nextLong())
+    private val member = Member(loop, scope, outside, view, horizon) { peers.announce() }
     private val changes =
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
-    private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, { peers.storeCut() })
+    private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, cancellations::telling) { peers.storeCut() }
     private val rounds = WorkerRounds(Timings(settings).sendOnMs)
     private val detours = Detours()
     private val parking = Parking(settings.siblings.map { it.member } + settings.member, settings.member)
@@ -51,6 +57,7 @@
             HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
             HttpServer(loop, scope, group, Tuning.PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
             outside.store.onContact = peers::storeContact
+            view.onComplete = horizon::viewed
             changes.onCrowded = { member.leader?.giveWay() }
             scope.launch { member.run() }
             scope.launch { prepare() }
@@ -184,13 +191,16 @@
                 return Response(421, Json.obj { writeStringField("steward", place) })
             }
         }
-        if (!leader.mayRenew(report, maybeAlone = peers.storeCut() || !peers.heardAny())) return Response(421, Json.obj { })
         return when (val answer = leader.report(report, relayed = !direct, parked = parkedAt() != null)) {
             ReportAnswer.Deposed -> {
                 leader.resign("${report.machine} has seen term ${report.termSeen}")
                 Response(421, Json.obj { })
             }
 
+            ReportAnswer.Unrenewed -> {
+                Response(421, Json.obj { })
+            }
+
             ReportAnswer.NotNow -> {
                 Response(503, Json.obj { })
             }
@@ -273,6 +283,23 @@
         term: Long,
     ) = this.member.siblingLeads(member, term)
 
+    override fun cancellationsAfter(
+        incarnation: Long,
+        next: Long,
+    ) = cancellations.after(incarnation, next)
+
+    override fun cancellationsRead(sibling: String) = horizon.progressOf(sibling)
+
+    override fun siblingCancelled(
+        member: String,
+        page: CancellationPage,
+        askedAtMs: Long,
+    ) {
+        horizon.answered(member, page, askedAtMs, loop.nowMs())
+        val scheduler = this.member.leader?.scheduler ?: return
+        page.ids.forEach { scheduler.withdrawnElsewhere(it, loop.nowMs()) }
+    }
+
     private fun progress(id: String): Progress? {
         val scheduler = member.leader?.scheduler ?: return peers.progress(id)
         val job = scheduler.cluster.jobs[id] ?: return null
--- a/src/main/kotlin/mintfield/app/Replay.kt
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -23,6 +23,8 @@
     /** Rebuilds the picture: catalogue, jobs, intents, machines, recorded plans and done-sets; then work goes on. */
     suspend fun run(listener: JobView.Listener) {
         val startMs = loop.nowMs()
+        // Nobody is renewed on a view of the jobs from before the election.
+        while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         // Before anybody is answered: what an earlier leader gave its word on must hold.
         for (e in readAll(Keys.DISOWNED)) {
             val key = e.key.removePrefix(Keys.DISOWNED)
--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -36,6 +36,8 @@
     private val changes: ChangeWriter,
     private val types: () -> Collection<MachineType>,
     private val progress: (String) -> Progress?,
+    /** Told of a job before a user is told that it is cancelled. */
+    private val tellingCancelled: (String) -> Unit,
     /** Whether the store has not been reached for a while, so that asking it would only make the user wait. */
     private val cutOff: () -> Boolean = { false },
 ) {
@@ -180,6 +182,7 @@
         status: Int,
     ): Response {
         val ended = stage == Stage.DONE || stage == Stage.WITHDRAWN
+        if (stage == Stage.WITHDRAWN) tellingCancelled(id)
         val body =
             Json.obj {
                 writeStringField("id", id)
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -12,6 +12,7 @@
 import mintfield.core.jobs.ReportHandler
 import mintfield.core.jobs.RoundLedger
 import mintfield.core.jobs.RoundRecord
+import mintfield.core.leadership.RenewalBound
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.MachineType
 import mintfield.core.model.Order
@@ -33,6 +34,9 @@
 
     /** It may not be answered yet. */
     data object NotNow : ReportAnswer
+
+    /** It must not be answered: its machine may hold a task that is cancelled unknown to this leader. */
+    data object Unrenewed : ReportAnswer
 }
 
 /**
@@ -42,9 +46,12 @@
 class Scheduler(
     settings: Settings,
     term: Long,
+    /** Whether a job is recorded as withdrawn, also before the replay has told of it. */
+    private val recordedWithdrawn: (String) -> Boolean = { false },
     private val log: (String) -> Unit,
 ) {
     val cluster = Cluster(settings, term, log)
+    private val renewalBound = RenewalBound(settings)
     private val reports = ReportHandler(cluster, log)
     private val round = Round(cluster, log)
     val fleet = FleetManager(cluster, log)
@@ -141,11 +148,7 @@
         if (accepted.mark <= job.mark) return
         job.mark = accepted.mark
         job.finishing = false
-        if (accepted.withdrawn && !job.withdrawn) {
-            job.withdrawn = true
-            log("${accepted.spec.id} is withdrawn, ${job.activeAttempts.size} tasks to stop")
-            job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn", quietly = true) }
-        }
+        if (accepted.withdrawn && !job.withdrawn) withdraw(job, nowMs)
     }
 
     /** The job's key is gone from the store: it is finished, or swept. */
@@ -171,26 +174,56 @@
         nowMs: Long,
         relayed: Boolean = false,
         parked: Boolean = false,
+        /** All cancellations that users were told of before this moment are known here. */
+        cancellationsToMs: Long = nowMs,
     ): ReportAnswer {
         if (report.termSeen > cluster.term) return ReportAnswer.Deposed
         if (!disowning.mayAnswer(report.machine)) return ReportAnswer.NotNow
-        val bare = ReportAnswer.Orders(cluster.term, emptyList())
+        val mayRenew = renewalBound.allows(nowMs - cancellationsToMs)
         if (!loaded) {
+            if (!mayRenew) return ReportAnswer.Unrenewed
             known(report, nowMs)?.answeredAtMs = nowMs
-            return bare
+            return halts(report)
         }
-        val m = known(report, nowMs) ?: return bare
+        val m = known(report, nowMs) ?: return if (mayRenew) halts(report) else ReportAnswer.Unrenewed
         m.relayed = relayed
         m.parked = parked
         if (m.state == MachineState.AWAITED && report.season == 1L && report.termSeen == 0L) fleet.boots.cameUp(m, nowMs - m.firstSeenAtMs, nowMs)
         val fresh = reports.take(m, report, checkin = true, nowMs)
+        if (!mayRenew || (!mayAct && reports.mayStartWithdrawn(m, report))) return ReportAnswer.Unrenewed
         m.answeredAtMs = nowMs
-        if (!fresh || !mayAct) return bare
+        if (!fresh || !mayAct) return halts(report)
         return ReportAnswer.Orders(cluster.term, reports.orders(m, checkin = true, nowMs))
     }
 
-    /** Whether [report] tells of a task whose job is withdrawn, as far as is known here. */
-    fun holdsWithdrawn(report: Report): Boolean = report.tasks.any { it.state != ReportedState.ENDED && cluster.jobs[it.task.job]?.withdrawn == true }
+    /**
+     * An answer that only renews, and halts what is recorded as withdrawn. That record is for ever, so such a halt is right
+     * whoever leads and whenever it arrives: a leader past its lease may give it too.
+     */
+    private fun halts(report: Report): ReportAnswer =
+        ReportAnswer.Orders(
+            cluster.term,
+            report.tasks
+                .filter { it.state != ReportedState.ENDED && (cluster.jobs[it.task.job]?.withdrawn == true || recordedWithdrawn(it.task.job)) }
+                .map { Order.Halt(it.task, it.attempt, 0.0) },
+        )
+
+    /** A sibling has told a user that [id] is cancelled: its tasks stop now, whatever this leader can read itself. */
+    fun withdrawnElsewhere(
+        id: String,
+        nowMs: Long,
+    ) {
+        cluster.jobs[id]?.takeIf { !it.withdrawn }?.let { withdraw(it, nowMs) }
+    }
+
+    private fun withdraw(
+        job: Job,
+        nowMs: Long,
+    ) {
+        job.withdrawn = true
+        log("${job.id} is withdrawn, ${job.activeAttempts.size} tasks to stop")
+        job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn", quietly = true) }
+    }
 
     private fun known(
         report: Report,
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -88,8 +88,9 @@
     /** Bytes of a transaction; the protocol's bound is 64 KiB in total. */
     const val MAX_TXN_BYTES = 56 * 1024
 
-    /** Milliseconds that the leader's watch of the jobs stays open. */
-    const val JOBS_WATCH_MS = 15_000L
+    /** Milliseconds that the leader's watch of the jobs stays open. An open watch proves nothing of what it has not brought, so
+     *  this bounds how far the leader's knowledge of cancellations lags behind; each costs one request. */
+    const val JOBS_WATCH_MS = 3_000L
 
     /** Share of the permitted requests that one node may spend on checks that its view is current. */
     const val CHECK_SHARE = 0.08
@@ -452,9 +453,16 @@
     /** Milliseconds past its lease after which a leader that reaches neither store nor siblings sends workers away. */
     const val ISOLATED_MS = 2_000L
 
-    /** Milliseconds kept from the time that a cancelled task may stay, when a leader that may be cut off alone renews workers:
-     *  its last contact may have been as much earlier, and workers end their leases a little late. */
-    const val KEEPING_MARGIN_MS = 2_000L
+    /** Milliseconds kept from the time that a cancelled task may stay, when a leader that may have missed cancellations renews
+     *  workers: timers and answers are late, and workers end their leases a little late. */
+    const val RENEWAL_MARGIN_MS = 2_000L
+
+    /** Jobs that users were last told are cancelled, kept for siblings that lead: a thousand a minute for several times
+     *  `cancel_s`. A sibling that reads once a second misses none. */
+    const val CANCELLATIONS_KEPT = 4_000
+
+    /** Entries of that log in one answer, which stays small; the rest comes with the next. */
+    const val CANCELLATIONS_AT_ONCE = 1_000
 
     /** Leases between two times that such a leader sends the same worker away. */
     const val SEND_ON_LEASES = 2.0
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -80,6 +80,15 @@
         report: Report,
     ) = report.termSeen > m.unansweredTerm && !m.directInFlight
 
+    /**
+     * Whether a start of a withdrawn job that got no answer may yet be carried out there. Only a higher term rules that out,
+     * which a leader past its lease cannot have.
+     */
+    fun mayStartWithdrawn(
+        m: Machine,
+        report: Report,
+    ): Boolean = !trusted(m, report) && m.attempts.any { a -> a.job.withdrawn && report.tasks.none { it.task == cluster.taskId(a) } }
+
     private fun newSeason(
         m: Machine,
         report: Report,
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationHorizon.kt
@@ -0,0 +1,62 @@
+package mintfield.core.leadership
+
+/**
+ * The moment up to which a controller knows of every cancellation that any user has been told of. Its own view of the jobs
+ * shows all up to the sending of the last read that was answered. Beyond that only the siblings can tell: users are told by
+ * controllers alone, so when each configured one, of the same process as at the time of that read, has handed over all that
+ * it told, nothing is missing. One that is silent, cut off or newly started proves nothing, and the moment stands still.
+ *
+ * All times are of this controller's steady clock. An answer of a sibling speaks for the moment at which it was asked: later
+ * answers may have been held up on the way.
+ */
+class CancellationHorizon(
+    siblings: Collection<String>,
+) {
+    private class Sibling(
+        val incarnation: Long,
+        /** When an answer of this process first arrived: it ran before that. */
+        val firstHeardMs: Long,
+        /** Entries of its log that were read. */
+        var read: Long,
+        var completeToMs: Long,
+    )
+
+    private val told = siblings.associateWith<String, Sibling?> { null }.toMutableMap()
+    private var viewToMs = NEVER
+
+    /** The process of [sibling] that was last heard, and how many entries of its log were read. */
+    fun progressOf(sibling: String): Pair<Long, Long> = told[sibling]?.let { it.incarnation to it.read } ?: (0L to 0L)
+
+    /** The view of the jobs was read from the state service; the read was sent at [sentAtMs]. */
+    fun viewed(sentAtMs: Long) {
+        viewToMs = maxOf(viewToMs, sentAtMs)
+    }
+
+    /** A [sibling], asked at [askedAtMs], has answered with [page] of its log, which arrived at [nowMs]. */
+    fun answered(
+        sibling: String,
+        page: CancellationPage,
+        askedAtMs: Long,
+        nowMs: Long,
+    ) {
+        if (sibling !in told) return
+        val known = told[sibling]
+        // Another process, or entries that were dropped before they were read: what came before is not known from here.
+        val fresh = known == null || known.incarnation != page.incarnation || page.from > known.read
+        val s = if (fresh) Sibling(page.incarnation, nowMs, page.from, NEVER) else known
+        told[sibling] = s
+        s.read = maxOf(s.read, page.from + page.ids.size)
+        if (s.read >= page.total) s.completeToMs = maxOf(s.completeToMs, askedAtMs)
+    }
+
+    /** All cancellations told before this moment are known here. */
+    fun upToMs(): Long {
+        if (told.isEmpty()) return NEVER.coerceAtLeast(viewToMs)
+        val bySiblings = told.values.minOf { s -> if (s != null && s.firstHeardMs <= viewToMs) s.completeToMs else NEVER }
+        return maxOf(viewToMs, bySiblings)
+    }
+
+    companion object {
+        const val NEVER = Long.MIN_VALUE / 4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationLog.kt
@@ -0,0 +1,44 @@
+package mintfield.core.leadership
+
+import mintfield.core.Tuning
+
+/** A stretch of a [CancellationLog]: entries from number [from] on, of [total] in all. */
+data class CancellationPage(
+    val incarnation: Long,
+    val from: Long,
+    val ids: List<String>,
+    val total: Long,
+)
+
+/**
+ * The jobs that this process has told users are cancelled, in the order of telling. Siblings read it: one that leads and that
+ * the state service refuses learns here of what it would otherwise find out too late. [incarnation] tells this process from
+ * an earlier one of the same member, whose log is lost.
+ */
+class CancellationLog(
+    private val incarnation: Long,
+) {
+    private val entries = ArrayDeque<String>()
+    private val kept = HashSet<String>()
+    private var first = 0L
+
+    /** To be called before a user is told that [id] is cancelled. */
+    fun telling(id: String) {
+        if (!kept.add(id)) return
+        entries.addLast(id)
+        if (entries.size <= Tuning.CANCELLATIONS_KEPT) return
+        kept.remove(entries.removeFirst())
+        first++
+    }
+
+    /** What [reader] lacks, who has read up to number [next] of the log of [ofIncarnation]. */
+    fun after(
+        ofIncarnation: Long,
+        next: Long,
+    ): CancellationPage {
+        val total = first + entries.size
+        val from = if (ofIncarnation == incarnation) next.coerceIn(first, total) else first
+        val ids = entries.subList((from - first).toInt(), entries.size).take(Tuning.CANCELLATIONS_AT_ONCE)
+        return CancellationPage(incarnation, from, ids, total)
+    }
+}
--- a/src/main/kotlin/mintfield/core/leadership/Tenure.kt
+++ b/src/main/kotlin/mintfield/core/leadership/Tenure.kt
@@ -62,9 +62,6 @@
         sentAtMs = maxOf(sentAtMs, renewalSentAtMs)
     }
 
-    /** Milliseconds since the last successful renewal was sent: the last time that the state service was surely reached. */
-    fun sinceContactMs(nowMs: Long): Long = nowMs - sentAtMs
-
     fun leftMs(nowMs: Long): Long = sentAtMs + (lifeMs * (1 - Tuning.CLOCK_DRIFT)).toLong() - Tuning.LEASE_MARGIN_MS - nowMs
 
     fun mayAct(nowMs: Long) = leftMs(nowMs) > 0
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -15,6 +15,7 @@
 import mintfield.app.Outside
 import mintfield.app.Progress
 import mintfield.core.Tuning
+import mintfield.core.leadership.CancellationPage
 import mintfield.core.model.Settings
 import mintfield.io.http.HttpClient
 import mintfield.io.http.HttpMessage
@@ -23,7 +24,7 @@
 import mintfield.io.loop.EventLoop
 import mintfield.io.store.StoreClient
 
-/** What controllers tell each other each second. It informs; no decision that the rules depend on rests on it. */
+/** What controllers tell each other each second. No decision that the rules depend on rests on it, but for its answer. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerNote(
@@ -33,6 +34,19 @@
     @ProtoNumber(4) val progress: List<JobProgress> = emptyList(),
     @ProtoNumber(5) val term: Long = 0,
     @ProtoNumber(6) val crowded: Boolean = false,
+    /** The process of the receiver whose log of cancellations was read last, and up to which entry. */
+    @ProtoNumber(7) val readIncarnation: Long = 0,
+    @ProtoNumber(8) val readNext: Long = 0,
+)
+
+/** The answer to a note: what its sender lacks of the log of cancellations that users were told of here. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+class PeerNoteAnswer(
+    @ProtoNumber(1) val incarnation: Long,
+    @ProtoNumber(2) val from: Long,
+    @ProtoNumber(3) val cancelled: List<String> = emptyList(),
+    @ProtoNumber(4) val total: Long,
 )
 
 /** A worker's report that came to a node which does not lead, and what the leader answers to it. */
@@ -96,6 +110,22 @@
             term: Long,
         )
 
+        /** What a sibling that has read the log of [incarnation] up to [next] lacks of the cancellations told here. */
+        fun cancellationsAfter(
+            incarnation: Long,
+            next: Long,
+        ): CancellationPage
+
+        /** Whose log of cancellations was read from [sibling], and up to which entry. */
+        fun cancellationsRead(sibling: String): Pair<Long, Long>
+
+        /** [member], asked at [askedAtMs], has told users of these cancellations. */
+        fun siblingCancelled(
+            member: String,
+            page: CancellationPage,
+            askedAtMs: Long,
+        )
+
         /** A user's request that came by way of a sibling; it is not passed on any further. */
         suspend fun relayedUser(
             method: String,
@@ -143,11 +173,16 @@
         client: HttpClient,
     ) {
         val from = loop.nowMs()
-        val reply = client.call("POST", "/peer", ProtoBuf.encodeToByteArray(PeerNote.serializer(), note()), Tuning.PEER_TIMEOUT_MS)
+        val reply = client.call("POST", "/peer", ProtoBuf.encodeToByteArray(PeerNote.serializer(), note(sibling)), Tuning.PEER_TIMEOUT_MS)
+        if (reply is Reply.Answer && reply.status == 200) {
+            val answer = decode(PeerNoteAnswer.serializer(), reply.body) ?: return
+            owner.siblingCancelled(sibling, CancellationPage(answer.incarnation, answer.from, answer.cancelled, answer.total), from)
+        }
         if (reply is Reply.None && loop.nowMs() - from < Tuning.PEER_TIMEOUT_MS / 2) refusedAtMs[sibling] = loop.nowMs()
     }
 
-    private fun note(): PeerNote {
+    private fun note(sibling: String): PeerNote {
+        val (incarnation, next) = owner.cancellationsRead(sibling)
         val term = owner.leadingTerm()
         val progress = if (term > 0) owner.progressNote().entries.take(MAX_JOBS) else emptyList()
         return PeerNote(
@@ -157,6 +192,8 @@
             progress.map { (id, p) -> JobProgress(id, p.done, p.running) },
             term,
             owner.crowded(),
+            incarnation,
+            next,
         )
     }
 
@@ -219,7 +256,9 @@
             jobs = note.progress.associate { it.id to Progress(it.done, it.running) }
             owner.siblingLeads(note.member, note.term)
         }
-        return Response(200, ByteArray(0))
+        val page = owner.cancellationsAfter(note.readIncarnation, note.readNext)
+        val answer = PeerNoteAnswer(page.incarnation, page.from, page.ids, page.total)
+        return Response(200, ProtoBuf.encodeToByteArray(PeerNoteAnswer.serializer(), answer))
     }
 
     private fun <T> decode(
--- a/src/test/kotlin/mintfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/mintfield/sim/SimulationTest.kt
@@ -52,6 +52,32 @@
         }
     }
 
+    /** Users cancel at other controllers while the leader is refused alone; then the store is out for longer than cancel_s. */
+    private fun gapWorld(
+        seed: Int,
+        faults: SimWorld.Faults = SimWorld.Faults(),
+    ): SimWorld {
+        val w = SimWorld(seed, faults, longerMs = 200_000)
+        for (i in 1..9) w.submit(Fixtures.spec("wk-$i", tasks = 2), i * 200L)
+        w.gap(15_000)
+        for (i in 1..6) w.abort("wk-$i", 15_000L + i * 300)
+        return w
+    }
+
+    @Test
+    fun `what is cancelled while the leader is refused alone, just before an outage, is gone in time`() {
+        for (seed in 1..60) {
+            try {
+                gapWorld(seed).run(SimWorld.LENGTH)
+            } catch (e: SimWorld.Broken) {
+                throw AssertionError("seed $seed: ${e.message}", e)
+            }
+        }
+        val broken =
+            assertThrows(SimWorld.Broken::class.java) { for (seed in 1..30) gapWorld(seed, SimWorld.Faults(assumeComplete = true)).run(SimWorld.LENGTH) }
+        assertTrue(broken.message!!.startsWith("ran_cancelled"), broken.message)
+    }
+
     private fun caught(faults: SimWorld.Faults): SimWorld.Broken =
         assertThrows(SimWorld.Broken::class.java) { for (seed in 1..30) world(seed, faults).run(SimWorld.LENGTH) }
 
