--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -43,7 +43,10 @@
     var termSeen = 0L
     var heardAtMs = NEVER
 
-    /** When a report of it was last answered, as counted by a renewal that may have reached it. */
+    /** When its last report of its own came, and not in answer to a command: only those are answered, which renews its lease. */
+    var checkedInAtMs = NEVER
+
+    /** When its lease last began, at the latest: a report of it was answered, which may have reached it, or a season showed. */
     var answeredAtMs = NEVER
 
     /** Whether our answers and commands reach it. */
@@ -239,7 +242,7 @@
             hearing.sure &&
             nowMs >= avoidUntilMs &&
             nowMs >= setAsideUntilMs &&
-            nowMs - heardAtMs < freshMs
+            nowMs - checkedInAtMs < freshMs
 
     companion object {
         const val NEVER = Long.MIN_VALUE / 4
--- a/src/main/kotlin/mintfield/core/jobs/DirectLine.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectLine.kt
@@ -33,7 +33,7 @@
         for (m in cluster.machines.values) {
             if (calls.size >= if (lost) 1 else most) break
             if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs || (m.relayed && !m.parked)) continue
-            if (nowMs - m.heardAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
+            if (nowMs - m.checkedInAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
             if (m.hearing.state == HearingState.DEAF) {
                 // Each may take its whole time-out; those that have something to start must not wait behind them.
                 if (++probes <= PROBES_AT_ONCE && most > Tuning.MAX_DIRECT_CALLS / 2) probe(m, nowMs)?.let { calls.add(it) }
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -32,6 +32,7 @@
     ): Boolean {
         if (report.season < m.season || (report.season == m.season && report.tally <= m.tally)) return false
         if (checkin) {
+            m.checkedInAtMs = nowMs
             val leaseMs = (cluster.settings.leaseS * 1000).toLong()
             if (m.hearing.checkin(m, report, leaseMs, nowMs)) hearingChanged(m, nowMs)
         } else if (m.hearing.heard(nowMs)) {
@@ -97,6 +98,8 @@
         m.attempts.filter { it.season < report.season }.forEach { cluster.release(it, nowMs, "season ${report.season} began") }
         if (m.season != 0L) log("${m.id} is in season ${report.season}, lost its tasks")
         m.season = report.season
+        // Its lease began with the season. Counted from the last answer alone, what is started in it would be taken for ended.
+        m.answeredAtMs = maxOf(m.answeredAtMs, nowMs)
         m.tally = 0
     }
 
