--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -308,6 +308,10 @@
     /** Seconds of fetching that are worth having whatever the wait elsewhere: finding out of a free slot takes as long. */
     const val FETCH_SLACK_S = 1.0
 
+    /** Milliseconds without a place after which an array fetches its image wherever there is room: no fetch takes much longer, and
+     *  users count a job as left waiting after 90 s. */
+    const val IMAGE_PATIENCE_MS = 30_000L
+
     /** Weight of a job's first measured task in its class's ratio of truth to estimate; later tasks of it weigh less. */
     const val RATIO_WEIGHT = 0.3
 
--- a/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
+++ b/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
@@ -4,7 +4,6 @@
 import mintfield.core.Tuning
 import mintfield.core.fleet.Machine
 import mintfield.core.jobs.Job
-import mintfield.core.model.JobSpec
 import mintfield.core.model.Shape
 
 /**
@@ -17,6 +16,7 @@
     private val open: List<Machine>,
     private val waiting: List<Job>,
     arrayCpus: Double,
+    private val nowMs: Long,
 ) {
     private class Holders(
         val cpus: Double,
@@ -24,7 +24,15 @@
         val waitingS: Double,
     )
 
-    private val holders = HashMap<Pair<String, Boolean>, Holders>()
+    /** What tells apart the machines that count: room where a job may not go is none for it. */
+    private data class Wanted(
+        val image: String,
+        val spot: Boolean,
+        val zone: String?,
+        val types: Set<String>,
+    )
+
+    private val holders = HashMap<Wanted, Holders>()
     private val arrays = waiting.filter { it.spec.shape == Shape.ARRAY }
 
     /** Seconds in which all that waits would have begun, if every slot were fit for it. */
@@ -32,23 +40,38 @@
 
     private fun waitingS(job: Job) = job.askable * job.spec.cpus * cluster.runTimes.expectedS(job)
 
-    private fun holders(spec: JobSpec): Holders =
-        holders.getOrPut(spec.image to spec.spot) {
+    private fun holders(job: Job): Holders {
+        val spec = job.spec
+        val zone =
+            spec.zone ?: if (spec.oneZone) {
+                job.activeAttempts
+                    .firstOrNull()
+                    ?.machine
+                    ?.zone
+            } else {
+                null
+            }
+        return holders.getOrPut(Wanted(spec.image, spec.spot, zone, job.fits)) {
             var cpus = 0.0
-            for (m in open) if (m.hasImage(spec.image) && (!m.spot || spec.spot)) cpus += m.type.cpus - m.serviceCpus
+            for (m in open) {
+                if (!m.hasImage(spec.image) || (m.spot && !spec.spot) || (zone != null && m.zone != zone) || m.type.name !in job.fits) continue
+                cpus += m.type.cpus - m.serviceCpus
+            }
             Holders(cpus, arrays.sumOf { if (it.spec.image == spec.image) waitingS(it) else 0.0 })
         }
+    }
 
     /** Whether the machines with the image of an array hold enough for all that it has waiting. */
-    fun enough(job: Job): Boolean = job.spec.shape == Shape.ARRAY && holders(job.spec).cpus >= job.askable * job.spec.cpus * Tuning.IMAGE_ROOM
+    fun enough(job: Job): Boolean = job.spec.shape == Shape.ARRAY && holders(job).cpus >= job.askable * job.spec.cpus * Tuning.IMAGE_ROOM
 
     /**
      * Seconds of fetching that a task of [job] may be given: no more than it would wait for room where its image is, or for
-     * any room at all. Replicas take what comes first.
+     * any room at all. Replicas take what comes first. So does a job that has waited for long without getting a place: what it
+     * waits for may be held by others, or be where its rules do not let it go.
      */
     fun patienceS(job: Job): Double {
-        if (job.spec.shape != Shape.ARRAY) return Double.MAX_VALUE
-        val h = holders(job.spec)
+        if (job.spec.shape != Shape.ARRAY || nowMs - maxOf(job.seenAtMs, job.lastPlanAtMs) > Tuning.IMAGE_PATIENCE_MS) return Double.MAX_VALUE
+        val h = holders(job)
         if (h.cpus <= 0) return Double.MAX_VALUE
         return maxOf(backlogS, h.waitingS / h.cpus) + Tuning.FETCH_SLACK_S
     }
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -7,6 +7,7 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
+import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 
@@ -35,7 +36,7 @@
         val order = urgency.sorted(waiting, wallMs)
         val turns = Turns(cluster, waiting, wallMs)
         val arrayCpus = urgency.arrayCapacity()
-        val images = ImageRoom(cluster, open, waiting, arrayCpus)
+        val images = ImageRoom(cluster, open, waiting, arrayCpus, nowMs)
         for ((job, tasks) in turns.first(arrayCpus)) {
             if (planned >= most) break
             planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE, Double.MAX_VALUE)
@@ -89,10 +90,11 @@
         // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
-        val isArray = spec.shape == Shape.ARRAY
-        val fitting = open.filter { fits(job, it, open.size) && zones.allows(it.zone) }
+        val able = open.filter { mayHold(job, it) && zones.allows(it.zone) }
+        // A machine that failed it is tried again only if few others could hold it.
+        val fitting = able.filter { it.id !in job.failedOn || job.failedOn.size >= able.size / 2 }
         if (spec.shape == Shape.GANG && fitting.sumOf { roomFor(spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } < job.waitingCount) return 0
-        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, isArray, reserve), spec.gpus, spec.memoryGb) })
+        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, spec, reserve), spec.gpus, spec.memoryGb) })
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
@@ -118,7 +120,7 @@
                     while (
                         tasks.hasNext() &&
                         m.serviceCpus + spec.cpus <= most &&
-                        m.holds(spec.cpus + margin(m, isArray, reserve), spec.gpus, spec.memoryGb) &&
+                        m.holds(spec.cpus + margin(m, spec, reserve), spec.gpus, spec.memoryGb) &&
                         zones.allows(m.zone)
                     ) {
                         reserve.taken(m, spec.cpus)
@@ -136,23 +138,24 @@
         return planned
     }
 
-    private fun fits(
+    private fun mayHold(
         job: Job,
         m: Machine,
-        openCount: Int,
     ): Boolean {
         val spec = job.spec
-        return m.type.name in job.fits &&
-            (spec.types == null || m.type.name in spec.types) &&
-            (!m.spot || spec.spot) &&
-            !(m.id in job.failedOn && job.failedOn.size < openCount / 2)
+        return m.type.name in job.fits && (spec.types == null || m.type.name in spec.types) && (!m.spot || spec.spot)
     }
 
+    /** A task that takes the whole machine, or nearly, would never find room beside a place that is left to replicas. */
     private fun margin(
         m: Machine,
-        isArray: Boolean,
+        spec: JobSpec,
         reserve: ReplicaReserve,
-    ) = if (isArray) reserve.margin(m) else 0.0
+    ): Double {
+        if (spec.shape != Shape.ARRAY) return 0.0
+        val margin = reserve.margin(m)
+        return if (spec.cpus + margin > m.type.cpus) 0.0 else margin
+    }
 
     /** A try at placing: the worst rank of image allowed, and whether to displace others or to spread replicas. */
     private class Phase(
