--- a/src/main/kotlin/mintfield/app/StoreWrites.kt
+++ b/src/main/kotlin/mintfield/app/StoreWrites.kt
@@ -14,13 +14,7 @@
     private val lease: Long,
     private val leaderKey: () -> ByteArray,
 ) {
-    fun guardsOf(w: Write): List<Guard> =
-        when (w) {
-            is Write.Round -> w.jobs.map { Guard(Keys.live(it.spec.id), it.mark) }
-            is Write.Finish -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
-            is Write.Sweep -> listOf(Guard(Keys.live(w.job.spec.id), w.job.mark))
-            else -> emptyList()
-        }
+    fun guardsOf(w: Write): List<Guard> = w.guarded.map { Guard(Keys.live(it.id), it.mark) }
 
     fun keyWrites(w: Write): List<KeyWrite> =
         when (w) {
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -7,12 +7,17 @@
 
 /** One change that the leader wants in the store. */
 sealed interface Write {
+    /** Jobs that must not have changed for it to be carried out. */
+    val guarded: Collection<Job> get() = emptyList()
+
     /** What one round decided and what was reported since the last one, of all [jobs] that it touches. */
     data class Round(
         val key: String,
         val record: RoundRecord,
         val jobs: List<Job>,
-    ) : Write
+    ) : Write {
+        override val guarded get() = jobs
+    }
 
     /** A round record that tells nothing any more. */
     data class SweepRound(
@@ -22,12 +27,16 @@
     /** The job is done: its final state replaces it and its records. */
     data class Finish(
         val job: Job,
-    ) : Write
+    ) : Write {
+        override val guarded get() = listOf(job)
+    }
 
     /** Everything of a withdrawn job is gone from the machines: its records go. */
     data class Sweep(
         val job: Job,
-    ) : Write
+    ) : Write {
+        override val guarded get() = listOf(job)
+    }
 
     data class Intend(
         val intent: RentIntent,
@@ -67,7 +76,10 @@
 class Commit(
     val term: Long,
     val writes: List<Write>,
-)
+) {
+    /** Revisions of the jobs that it touches, as known when it was made: they guard it, whatever is heard before its answer. */
+    val marks: Map<String, Long> = writes.flatMap { it.guarded }.associate { it.id to it.mark }
+}
 
 sealed interface CommitResult {
     data class Done(
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -349,7 +349,7 @@
             is CommitResult.Done -> commit.writes.forEach { written(it, result.revision, nowMs) }
             is CommitResult.Conflict -> {
                 ledger.putBack(commit.writes, nowMs)
-                result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, nowMs) } }
+                result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, commit.marks[id], nowMs) } }
             }
             CommitResult.Refused -> ledger.putBack(commit.writes, nowMs)
             CommitResult.Unknown -> {
@@ -370,8 +370,11 @@
     /** The job changed under us, by its user's abort; the view will tell. What was never written was never sent. */
     private fun conflicted(
         job: Job,
+        guardedMark: Long?,
         nowMs: Long,
     ) {
+        // The view may have told of the change before the answer came; then nothing else will.
+        if (job.mark != guardedMark) return
         job.activeAttempts.filter { it.state == AttemptState.PLANNING }.forEach { cluster.stop(it, nowMs, "the job changed") }
         job.finishing = true
     }
--- a/src/test/kotlin/mintfield/sim/SimWorker.kt
+++ b/src/test/kotlin/mintfield/sim/SimWorker.kt
@@ -29,10 +29,15 @@
     var tally = 0L
     var term = 0L
     var alive = true
+    var killed = 0
+        private set
     var hungUntil = 0L
 
     /** Until then nothing that is sent to it arrives, though its reports do. */
     var deafUntil = 0L
+
+    /** Until then it reaches no controller, though commands reach it. */
+    var mutedUntil = 0L
     var leaseFrom = now
     var nextReportAt = now
     var waitingSince = -1L
@@ -40,6 +45,7 @@
 
     val hung get() = now < hungUntil
     val deaf get() = now < deafUntil
+    val muted get() = now < mutedUntil
 
     /** Tasks that count as on this machine. */
     fun present(): List<TaskId> = if (alive) tasks.filter { it.value.state != ReportedState.ENDED }.keys.toList() else emptyList()
@@ -48,6 +54,7 @@
         now = time
         if (!alive) return
         if (now - leaseFrom > leaseMs) {
+            killed += tasks.size
             tasks.clear()
             season++
             leaseFrom = now
