--- a/src/main/kotlin/mintfield/core/placement/ReplicaReserve.kt
+++ b/src/main/kotlin/mintfield/core/placement/ReplicaReserve.kt
@@ -3,6 +3,7 @@
 import mintfield.core.Cluster
 import mintfield.core.Tuning
 import mintfield.core.fleet.Machine
+import mintfield.core.model.JobSpec
 import mintfield.core.model.Shape
 
 /**
@@ -35,8 +36,20 @@
         less: Double,
     ): Double = if (m.spot || each <= 0) 0.0 else maxOf(0.0, Math.floor((m.freeCpus - less) / each + EPSILON)) * each
 
-    /** CPUs that a task of an array must leave free on [m]. */
-    fun margin(m: Machine): Double = if (m.spot || free > wanted) 0.0 else each
+    /**
+     * CPUs that a task of [spec] must leave free on [m]: none unless it is an array's, and none if it takes the whole machine or
+     * nearly, as it would never find room beside a place that is left to replicas.
+     */
+    fun margin(
+        m: Machine,
+        spec: JobSpec,
+    ): Double = if (spec.shape != Shape.ARRAY) 0.0 else margin(m, spec.cpus)
+
+    /** The same for a task of an array that takes [cpus]. */
+    fun margin(
+        m: Machine,
+        cpus: Double,
+    ): Double = if (m.spot || free > wanted || cpus + each > m.type.cpus) 0.0 else each
 
     /** A task of [cpus] is about to be planned on [m]. */
     fun taken(
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -7,7 +7,6 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
-import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 
@@ -32,6 +31,9 @@
         if (open.isEmpty()) return 0
         val number = cluster.attemptNumber()
         val reserve = ReplicaReserve(cluster, open)
+        val roomy = RoomyMachines(open, waiting, reserve)
+        // While everything is full a round costs no more for much that waits than for little.
+        if (roomy.none && waiting.none { it.spec.shape != Shape.ARRAY || it.spec.priority < Priority.NORMAL }) return 0
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
         val turns = Turns(cluster, waiting, wallMs)
@@ -39,7 +41,7 @@
         val images = ImageRoom(cluster, open, waiting, arrayCpus, nowMs)
         for ((job, tasks) in turns.first(arrayCpus)) {
             if (planned >= most) break
-            planned += place(job, open, number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE, Double.MAX_VALUE)
+            planned += place(job, open, roomy.forJob(job), number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE, Double.MAX_VALUE)
         }
         val setAside = turns.setAside(open)
         val patient = ArrayList<Job>()
@@ -49,13 +51,15 @@
             val waits = crowded && images.enough(job)
             if (waits) patient.add(job)
             val worst = if (waits || settling(job, nowMs)) THERE else ANYWHERE
-            planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, worst, images.patienceS(job))
+            val candidates = turns.openTo(job, roomy.forJob(job), setAside)
+            planned += place(job, open, candidates, number, reserve, nowMs, most - planned, worst, images.patienceS(job))
         }
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
             if (job.waitingCount > 0 && !settling(job, nowMs)) {
-                planned += place(job, turns.openTo(job, open, setAside), number, reserve, nowMs, most - planned, ANYWHERE, images.patienceS(job))
+                val candidates = turns.openTo(job, roomy.forJob(job), setAside)
+                planned += place(job, open, candidates, number, reserve, nowMs, most - planned, ANYWHERE, images.patienceS(job))
             }
         }
         return planned
@@ -77,6 +81,7 @@
     private fun place(
         job: Job,
         open: List<Machine>,
+        candidates: List<Machine>,
         number: Long,
         reserve: ReplicaReserve,
         nowMs: Long,
@@ -86,15 +91,22 @@
     ): Int {
         val spec = job.spec
         val allowed = minOf(most, cluster.allowance(spec), job.askable)
-        if (allowed <= 0) return 0
+        if (allowed <= 0 || candidates.isEmpty()) return 0
         // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
-        val able = open.filter { mayHold(job, it) && zones.allows(it.zone) }
         // A machine that failed it is tried again only if few others could hold it.
-        val fitting = able.filter { it.id !in job.failedOn || job.failedOn.size >= able.size / 2 }
+        val avoided =
+            if (job.failedOn.size <
+                open.count { job.failedOn.isNotEmpty() && mayHold(job, it) && zones.allows(it.zone) } / 2
+            ) {
+                job.failedOn
+            } else {
+                emptySet()
+            }
+        val fitting = candidates.filter { it.id !in avoided && mayHold(job, it) && zones.allows(it.zone) }
         if (spec.shape == Shape.GANG && fitting.sumOf { roomFor(spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } < job.waitingCount) return 0
-        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + margin(it, spec, reserve), spec.gpus, spec.memoryGb) })
+        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + reserve.margin(it, spec), spec.gpus, spec.memoryGb) })
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
@@ -120,7 +132,7 @@
                     while (
                         tasks.hasNext() &&
                         m.serviceCpus + spec.cpus <= most &&
-                        m.holds(spec.cpus + margin(m, spec, reserve), spec.gpus, spec.memoryGb) &&
+                        m.holds(spec.cpus + reserve.margin(m, spec), spec.gpus, spec.memoryGb) &&
                         zones.allows(m.zone)
                     ) {
                         reserve.taken(m, spec.cpus)
@@ -146,17 +158,6 @@
         return m.type.name in job.fits && (spec.types == null || m.type.name in spec.types) && (!m.spot || spec.spot)
     }
 
-    /** A task that takes the whole machine, or nearly, would never find room beside a place that is left to replicas. */
-    private fun margin(
-        m: Machine,
-        spec: JobSpec,
-        reserve: ReplicaReserve,
-    ): Double {
-        if (spec.shape != Shape.ARRAY) return 0.0
-        val margin = reserve.margin(m)
-        return if (spec.cpus + margin > m.type.cpus) 0.0 else margin
-    }
-
     /** A try at placing: the worst rank of image allowed, and whether to displace others or to spread replicas. */
     private class Phase(
         val worstImage: Int,
