--- a/src/main/kotlin/mintfield/core/leadership/CancellationHorizon.kt
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationHorizon.kt
@@ -51,12 +51,14 @@
 
     /** All cancellations told before this moment are known here. */
     fun upToMs(): Long {
-        if (told.isEmpty()) return NEVER.coerceAtLeast(viewToMs)
+        // Alone, with what an earlier process told read from the store, it is the only one that tells anybody.
+        if (told.isEmpty()) return if (viewToMs == NEVER) NEVER else ALWAYS
         val bySiblings = told.values.minOf { s -> if (s != null && s.firstHeardMs <= viewToMs) s.completeToMs else NEVER }
         return maxOf(viewToMs, bySiblings)
     }
 
     companion object {
         const val NEVER = Long.MIN_VALUE / 4
+        const val ALWAYS = Long.MAX_VALUE / 4
     }
 }
--- a/src/test/kotlin/mintfield/RenewalBoundTest.kt
+++ b/src/test/kotlin/mintfield/RenewalBoundTest.kt
@@ -13,6 +13,7 @@
 import mintfield.core.model.ReportedTask
 import mintfield.core.model.TaskId
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -66,6 +67,10 @@
         horizon.viewed(2_000)
         for (at in 2_500L..600_000L step 1_000) readAll(at)
         assertTrue(bound.allows(601_000 - horizon.upToMs()))
+        val alone = CancellationHorizon(emptyList())
+        assertFalse(bound.allows(600_000 - alone.upToMs()), "what an earlier process told is not read yet")
+        alone.viewed(1_000)
+        assertTrue(bound.allows(600_000 - alone.upToMs()), "nobody else tells users anything")
     }
 
     @Test
