--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -1,7 +1,5 @@
 package mintfield.app
 
-import com.google.common.cache.Cache
-import com.google.common.cache.CacheBuilder
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -39,12 +37,7 @@
 
     /** Jobs whose record is there but cannot be read: known, and kept, but nothing can be done for them. */
     val unreadable = HashSet<String>()
-    private val finals: Cache<String, FinalState> =
-        CacheBuilder
-            .newBuilder()
-            .concurrencyLevel(1)
-            .maximumSize(Tuning.MAX_CACHED_FINALS)
-            .build()
+    private val finals = FinalStates(Tuning.MAX_CACHED_FINALS)
     var listener: Listener? = null
 
     /** Told when the view shows all that had happened by a moment, in steady milliseconds. */
@@ -55,12 +48,14 @@
     private var waiters = ArrayList<CompletableDeferred<Boolean>>()
     private var checking = false
 
-    fun final(id: String): FinalState? = finals.getIfPresent(id)
+    fun final(id: String): FinalState? = finals[id]
 
     fun remember(
         id: String,
         state: FinalState,
-    ) = finals.put(id, state)
+    ) {
+        finals[id] = state
+    }
 
     /** True once the view shows all that had happened in the store when this was called. */
     suspend fun current(): Boolean {
@@ -163,7 +158,7 @@
             if (c.key.startsWith(Keys.LIVE)) {
                 liveChanged(c.key.removePrefix(Keys.LIVE), c.data, c.mark)
             } else if (c.key.startsWith(Keys.FINAL) && c.data != null) {
-                finals.put(c.key.removePrefix(Keys.FINAL), Records.parseFinal(c.data))
+                finals[c.key.removePrefix(Keys.FINAL)] = Records.parseFinal(c.data)
             }
         }
         revision = maxOf(revision, changes.revision)
--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -1,74 +1,64 @@
 package mintfield.app
 
-import com.beust.jcommander.JCommander
-import com.beust.jcommander.Parameter
-import com.beust.jcommander.ParameterException
-import com.beust.jcommander.Parameters
+import mintfield.app.warmup.WarmUp
 import mintfield.core.model.LogFormat
 import mintfield.io.loop.Log
 import mintfield.io.settings.OperatorFile
 import mintfield.io.settings.SettingsFault
 import mintfield.io.settings.SettingsFile
+import org.apache.commons.cli.DefaultParser
+import org.apache.commons.cli.HelpFormatter
+import org.apache.commons.cli.Option
+import org.apache.commons.cli.Options
+import org.apache.commons.cli.ParseException
 import kotlin.system.exitProcess
 
 private const val VERSION = "mintfield 0.1.0"
 
+private const val CONFIG = "config"
+private const val OPERATOR = "operator"
+private const val HELP = "help"
+private const val VERSION_OPTION = "version"
+
+/** Commands; without one the program serves. */
 private const val CHECK = "check"
-private const val REHEARSE = "rehearse"
+private const val WARM_UP = "warm-up"
+
+private const val USAGE = "mintfield --config FILE [--operator FILE] | check FILE"
+private const val COMMANDS =
+    "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it"
 
 /** Exit code for settings or arguments that cannot be used. */
 private const val BAD_USAGE = 2
 
-private class Options {
-    @Parameter(names = ["--config"], description = "serve with the settings of this file (TOML)")
-    @JvmField
-    var config: String? = null
-
-    @Parameter(names = ["--operator"], description = "operators' own settings (HCL)")
-    @JvmField
-    var operator: String? = null
-
-    @Parameter(names = ["--help", "-h"], help = true, description = "show this help")
-    @JvmField
-    var help = false
-
-    @Parameter(names = ["--version", "-V"], help = true, description = "show the version")
-    @JvmField
-    var version = false
-}
-
-@Parameters(commandDescription = "checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it")
-private class CheckCommand {
-    @Parameter(description = "FILE", required = true)
-    @JvmField
-    var file: String? = null
-}
-
-@Parameters(hidden = true, commandDescription = "touches the classes of a start, for the build's class-data archive")
-private class RehearseCommand
+private fun options(): Options =
+    Options()
+        .addOption(Option(null, CONFIG, true, "serve with the settings of this file (TOML)"))
+        .addOption(Option(null, OPERATOR, true, "operators' own settings (HCL)"))
+        .addOption(Option("h", HELP, false, "show this help"))
+        .addOption(Option("V", VERSION_OPTION, false, "show the version"))
 
+/** Entry point of the command line. */
 fun main(args: Array<String>) {
-    val options = Options()
-    val check = CheckCommand()
-    val line = JCommander(options)
-    line.programName = "mintfield"
-    line.addCommand(CHECK, check)
-    line.addCommand(REHEARSE, RehearseCommand())
-    try {
-        line.parse(*args)
-    } catch (e: ParameterException) {
-        refuse(e.message ?: "the arguments cannot be used")
-    }
-    if (options.help) return println(StringBuilder().also { line.usageFormatter.usage(it) })
-    if (options.version) return println(VERSION)
+    val options = options()
+    val line =
+        try {
+            DefaultParser().parse(options, args)
+        } catch (e: ParseException) {
+            refuse(e.message ?: "the arguments cannot be used")
+        }
+    if (line.hasOption(HELP)) return HelpFormatter().printHelp(USAGE, COMMANDS, options, "")
+    if (line.hasOption(VERSION_OPTION)) return println(VERSION)
+    val words = line.argList
     try {
-        when (line.parsedCommand) {
-            CHECK -> check(check.file!!)
-            REHEARSE -> {
-                Rehearsal.run()
+        when (words.firstOrNull()) {
+            null -> serve(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR))
+            CHECK -> check(words.drop(1).singleOrNull() ?: refuse("$CHECK expects one FILE"))
+            WARM_UP -> {
+                WarmUp().run()
                 exitProcess(0)
             }
-            else -> serve(options)
+            else -> refuse("unknown command ${words.first()}; see --help")
         }
     } catch (e: SettingsFault) {
         refuse(e.message ?: "the settings cannot be used")
@@ -85,11 +75,14 @@
     println("$path: good")
 }
 
-private fun serve(options: Options) {
-    val path = options.config ?: refuse("expected --config FILE; see --help")
+private fun serve(
+    config: String?,
+    operatorFile: String?,
+) {
+    val path = config ?: refuse("expected --config FILE; see --help")
     val settings = SettingsFile.read(path)
     // Its classes load only when it is named: every class costs time at the start.
-    val operator = options.operator?.let { OperatorFile.read(it) } ?: settings.operator
+    val operator = operatorFile?.let { OperatorFile.read(it) } ?: settings.operator
     Log.json = operator.logFormat == LogFormat.JSON
     Node(settings.copy(operator = operator)).run()
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -96,7 +96,7 @@
     const val CHECK_SHARE = 0.08
 
     /** Final states kept in memory; others are read from the store when asked for. */
-    const val MAX_CACHED_FINALS = 10_000L
+    const val MAX_CACHED_FINALS = 10_000
 
     /** Milliseconds between writings of what the leader has learned. */
     const val HINTS_MS = 10_000L
--- a/src/main/kotlin/mintfield/io/http/Channels.kt
+++ b/src/main/kotlin/mintfield/io/http/Channels.kt
@@ -1,7 +1,9 @@
 package mintfield.io.http
 
+import com.google.common.net.InetAddresses
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.io.IOException
+import java.net.Inet4Address
 import java.net.InetSocketAddress
 import java.net.SocketAddress
 import java.nio.ByteBuffer
@@ -64,13 +66,15 @@
     }
 }
 
-/** `10.0.0.1:8080` as an address; IP numbers only, so that no name is ever looked up. */
+/** `10.0.0.1:8080` as an address; IPv4 numbers only, so that no name is ever looked up. */
 fun parseAddress(text: String): InetSocketAddress? {
     val colon = text.lastIndexOf(':')
     if (colon <= 0) return null
-    val port = text.substring(colon + 1).toIntOrNull()?.takeIf { it in 1..65535 } ?: return null
-    val parts = text.substring(0, colon).split('.').map { it.toIntOrNull()?.takeIf { n -> n in 0..255 } ?: return null }
-    if (parts.size != 4) return null
-    val raw = ByteArray(4) { parts[it].toByte() }
-    return InetSocketAddress(java.net.InetAddress.getByAddress(raw), port)
+    val port = text.substring(colon + 1).toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
+    val host = text.substring(0, colon)
+    if (!InetAddresses.isInetAddress(host)) return null
+    val address = InetAddresses.forString(host) as? Inet4Address ?: return null
+    return InetSocketAddress(address, port)
 }
+
+private const val MAX_PORT = 65_535
--- a/src/main/kotlin/mintfield/io/json/Json.kt
+++ b/src/main/kotlin/mintfield/io/json/Json.kt
@@ -25,6 +25,9 @@
             it.writeEndObject()
         }
 
+    /** The tree that begins at the parser's current token; any format that Jackson streams. */
+    fun tree(p: JsonParser): Any? = value(p, 0)
+
     /** A plain tree of maps, lists, strings, numbers, booleans and nulls; null when [bytes] are not JSON. */
     fun parse(bytes: ByteArray): Any? =
         try {
--- a/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
@@ -1,16 +1,22 @@
 package mintfield.io.settings
 
 import com.fasterxml.jackson.core.JsonProcessingException
-import com.fasterxml.jackson.databind.JsonNode
-import com.fasterxml.jackson.dataformat.toml.TomlMapper
+import com.fasterxml.jackson.dataformat.toml.TomlFactory
 import mintfield.core.model.Objective
 import mintfield.core.model.Settings
 import mintfield.core.model.Sibling
 import mintfield.core.model.Team
 import mintfield.io.http.parseAddress
+import mintfield.io.json.Json
+import mintfield.io.json.asList
+import mintfield.io.json.asMap
+import mintfield.io.json.double
+import mintfield.io.json.string
 import java.io.File
 import java.io.IOException
 
+private typealias Table = Map<String, Any?>
+
 /** One line for the operator: which field is wrong and what was expected. */
 class SettingsFault(
     message: String,
@@ -30,18 +36,24 @@
     fun parse(
         text: String,
         name: String,
-    ): Settings {
-        val root =
-            try {
-                TomlMapper().readTree(text)
-            } catch (e: JsonProcessingException) {
-                throw SettingsFault("$name: not valid TOML (${e.originalMessage})")
+    ): Settings = Reader(tree(text, name), name).settings()
+
+    /** Read as a stream: a mapper would initialise date formats and serializers that nothing here needs, a quarter of a start. */
+    private fun tree(
+        text: String,
+        name: String,
+    ): Table =
+        try {
+            TomlFactory().createParser(text).use { parser ->
+                parser.nextToken()
+                Json.tree(parser).asMap() ?: emptyMap()
             }
-        return Reader(root, name).settings()
-    }
+        } catch (e: JsonProcessingException) {
+            throw SettingsFault("$name: not valid TOML (${e.originalMessage})")
+        }
 
     private class Reader(
-        private val root: JsonNode,
+        private val root: Table,
         private val name: String,
     ) {
         fun settings() =
@@ -51,15 +63,15 @@
                 clientListen = address(root, "client_listen"),
                 internalAddress = address(root, "internal_addr"),
                 siblings =
-                    list(root, "siblings").mapIndexed { i, n ->
+                    list(root, "siblings").map { it.asMap() ?: emptyMap() }.mapIndexed { i, n ->
                         val at = "siblings[$i]."
                         Sibling(text(n, "member", at), text(n, "zone", at), address(n, "address", at))
                     },
                 cloudAddress = address(at("outside"), "cloud", "outside."),
                 stateAddress = address(at("outside"), "state", "outside."),
-                zones = list(at("params"), "zones").map { it.asText() },
-                teams = list(at("params"), "teams").mapIndexed { i, n -> team(n, "params.teams[$i].") },
-                objectives = list(at("params"), "objectives").mapIndexed { i, n -> objective(n, "params.objectives[$i].") },
+                zones = list(at("params"), "zones").map { it.toString() },
+                teams = list(at("params"), "teams").map { it.asMap() ?: emptyMap() }.mapIndexed { i, n -> team(n, "params.teams[$i].") },
+                objectives = list(at("params"), "objectives").map { it.asMap() ?: emptyMap() }.mapIndexed { i, n -> objective(n, "params.objectives[$i].") },
                 reportS = number(at("params.workers"), "report_s", "params.workers."),
                 leaseS = number(at("params.workers"), "lease_s", "params.workers."),
                 cancelS = number(at("params.workers"), "cancel_s", "params.workers."),
@@ -73,7 +85,7 @@
             )
 
         private fun team(
-            n: JsonNode,
+            n: Table,
             where: String,
         ) = Team(
             text(n, "name", where),
@@ -84,43 +96,42 @@
         )
 
         private fun objective(
-            n: JsonNode,
+            n: Table,
             where: String,
         ) = Objective(
             text(n, "kind", where),
-            n.get("class")?.asText(),
+            n.string("class"),
             optional(n, "within_s"),
             optional(n, "share"),
             optional(n, "times"),
         )
 
-        private fun at(path: String): JsonNode {
+        private fun at(path: String): Table {
             var node = root
-            for (part in path.split('.')) node = node.get(part) ?: throw SettingsFault("$name: $path: expected a table, found nothing")
+            for (part in path.split('.')) node = node[part].asMap() ?: throw SettingsFault("$name: $path: expected a table, found nothing")
             return node
         }
 
         private fun list(
-            n: JsonNode,
+            n: Table,
             field: String,
-        ): List<JsonNode> {
-            val value = n.get(field) ?: return emptyList()
-            if (!value.isArray) throw SettingsFault("$name: $field: expected a list")
-            return value.toList()
+        ): List<Any?> {
+            val value = n[field] ?: return emptyList()
+            return value.asList() ?: throw SettingsFault("$name: $field: expected a list")
         }
 
         private fun text(
-            n: JsonNode,
+            n: Table,
             field: String,
             where: String = "",
         ): String {
-            val value = n.get(field) ?: throw SettingsFault("$name: $where$field: expected a string, found nothing")
-            if (!value.isTextual || value.asText().isEmpty()) throw SettingsFault("$name: $where$field: expected a string, found $value")
-            return value.asText()
+            val value = n[field] ?: throw SettingsFault("$name: $where$field: expected a string, found nothing")
+            if (value !is String || value.isEmpty()) throw SettingsFault("$name: $where$field: expected a string, found $value")
+            return value
         }
 
         private fun address(
-            n: JsonNode,
+            n: Table,
             field: String,
             where: String = "",
         ): String {
@@ -130,22 +141,23 @@
         }
 
         private fun number(
-            n: JsonNode,
+            n: Table,
             field: String,
             where: String,
             zeroToo: Boolean = false,
         ): Double {
-            val value = n.get(field) ?: throw SettingsFault("$name: $where$field: expected a number, found nothing")
+            val found = n[field] ?: throw SettingsFault("$name: $where$field: expected a number, found nothing")
             val wanted = if (zeroToo) "0 or more" else "more than 0"
-            if (!value.isNumber || !(value.asDouble() > 0 || (zeroToo && value.asDouble() == 0.0))) {
-                throw SettingsFault("$name: $where$field: expected a number of $wanted, found $value")
+            val value = n.double(field)
+            if (value == null || !(value > 0 || (zeroToo && value == 0.0))) {
+                throw SettingsFault("$name: $where$field: expected a number of $wanted, found $found")
             }
-            return value.asDouble()
+            return value
         }
 
         private fun optional(
-            n: JsonNode,
+            n: Table,
             field: String,
-        ): Double? = n.get(field)?.takeIf { it.isNumber }?.asDouble()
+        ): Double? = n.double(field)
     }
 }
