--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -54,7 +54,6 @@
     fun run() {
         loop.start()
         loop.post {
-            HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
             HttpServer(loop, scope, group, Tuning.PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
             outside.store.onContact = peers::storeContact
             view.onComplete = horizon::viewed
@@ -64,7 +63,7 @@
             scope.launch { lookForStore() }
             scope.launch { watchOver() }
             peers.start()
-            Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
+            scope.launch { serveClients() }
         }
         loop.join()
     }
@@ -75,6 +74,17 @@
         group.shutdownNow()
     }
 
+    /**
+     * Opens the clients' port once it is known who leads. Until then every worker would be turned away, and to do that for all
+     * of them, several times a second, is what keeps a small controller from finding out.
+     */
+    private suspend fun serveClients() {
+        val until = loop.nowMs() + Tuning.LISTEN_WITHOUT_LEADER_MS
+        while (member.known == null && loop.nowMs() < until) delay(Tuning.LISTEN_STEP_MS)
+        HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
+        Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
+    }
+
     private suspend fun prepare() {
         while (outside.types.isEmpty()) {
             outside.readTypes()
@@ -217,6 +227,7 @@
     /** Not the leader: the report goes on to it, and its answer back; it says if the worker should come directly. */
     private suspend fun elsewhere(request: HttpMessage): Response {
         val leader = member.known?.takeIf { it != settings.member } ?: return Response(421, Json.obj { })
+        if (peers.relaysCrowded(leader)) return Response(421, Json.obj { writeStringField("steward", leader) })
         val sentAt = loop.nowMs()
         val answer = peers.relay(leader, request.body) ?: return afterSilence(leader, request, sentAt)
         return if (answer.status == 421) Response(421, Json.obj { writeStringField("steward", leader) }) else Response(answer.status, answer.body)
--- a/src/main/kotlin/mintfield/app/Replay.kt
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -36,6 +36,7 @@
             if (outside.types.isEmpty()) delay(Tuning.CLOUD_RETRY_MS)
         }
         scheduler.types(outside.types.values.toList(), loop.nowMs())
+        renewFirst()
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         val intents = readAll(Keys.INTENTS)
         val rounds = readAll(Keys.ROUNDS).sortedBy { it.mark }
@@ -65,6 +66,13 @@
         )
     }
 
+    /** Lets workers be renewed before the processor is taken for reading and replaying. */
+    private suspend fun renewFirst() {
+        val from = loop.nowMs()
+        delay(Tuning.RENEWALS_QUIET_MS)
+        while (scheduler.renewing(loop.nowMs()) && loop.nowMs() - from < Tuning.RENEWALS_FIRST_MS) delay(Tuning.RENEWALS_STEP_MS)
+    }
+
     private suspend fun readAll(prefix: String): List<Entry> {
         val found = ArrayList<Entry>()
         while (true) {
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -65,12 +65,19 @@
     private var lastReplicaRoundMs = Machine.NEVER
     private var lastHintsMs = Machine.NEVER
 
+    /** Workers that were answered before the replay, and when the last of them came for the first time. */
+    private val renewed = HashSet<String>()
+    private var lastRenewedMs = Machine.NEVER
+
     /** Replay has ended; before, reports are answered with the term only. */
     var loaded = false
         private set
 
     // ---- replay ----
 
+    /** Whether workers still come for the first time since the election, whose leases must not run out for the replay's sake. */
+    fun renewing(nowMs: Long) = nowMs - lastRenewedMs < Tuning.RENEWALS_QUIET_MS
+
     fun types(
         types: List<MachineType>,
         nowMs: Long,
@@ -183,6 +190,7 @@
         if (!loaded) {
             if (!mayRenew) return ReportAnswer.Unrenewed
             known(report, nowMs)?.answeredAtMs = nowMs
+            if (renewed.add(report.machine)) lastRenewedMs = nowMs
             return halts(report)
         }
         val m = known(report, nowMs) ?: return if (mayRenew) halts(report) else ReportAnswer.Unrenewed
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -16,6 +16,9 @@
     /** Connections waiting to be accepted; a burst after an outage should not be refused by the kernel. */
     const val ACCEPT_BACKLOG = 1_024
 
+    /** Connections taken in a row, ahead of other events. A controller that takes over is tried by all workers within a second. */
+    const val ACCEPTS_IN_ROW = 16
+
     /** Milliseconds to rest after a failed accept, so that lack of sockets does not become a busy loop. */
     const val ACCEPT_PAUSE_MS = 50L
 
@@ -67,6 +70,19 @@
     /** Milliseconds between two raisings of the term: each costs a write and a report of every worker. */
     const val RAISE_TERM_GAP_MS = 2_000L
 
+    /** Milliseconds after the start for which the clients' port stays closed while no leader is known: longer than an election
+     *  takes, and short enough for a controller that starts in an outage to relay reports. */
+    const val LISTEN_WITHOUT_LEADER_MS = 1_500L
+
+    /** Milliseconds between looks whether a leader is known. */
+    const val LISTEN_STEP_MS = 20L
+
+    /** Milliseconds without a worker's first report after which a new leader replays, the most that it waits for that, and between
+     *  two looks. Replaying takes the processor for a second or more on a small machine, while workers' leases run out. */
+    const val RENEWALS_QUIET_MS = 300L
+    const val RENEWALS_FIRST_MS = 2_500L
+    const val RENEWALS_STEP_MS = 50L
+
     // --- Store ---
 
     /** Milliseconds to wait for an answer; it usually takes 10, at times a few hundred. */
@@ -420,6 +436,10 @@
      *  within a second: those beyond wait their turn for some milliseconds, where each used to open a connection. */
     const val RELAY_LANES = 12
 
+    /** Milliseconds since its last answer for which a leader counts as answering relays: one that stands still is not recommended
+     *  to workers, who would wait 4 s there. */
+    const val RELAY_ANSWERED_MS = 500L
+
     /** Connections that siblings may open here; each sibling needs its lanes and one or two for notes. */
     const val PEER_CONNECTIONS = 64
 
--- a/src/main/kotlin/mintfield/io/http/Channels.kt
+++ b/src/main/kotlin/mintfield/io/http/Channels.kt
@@ -1,6 +1,9 @@
 package mintfield.io.http
 
 import com.google.common.net.InetAddresses
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.suspendCancellableCoroutine
 import java.io.IOException
 import java.net.Inet4Address
@@ -10,21 +13,27 @@
 import java.nio.channels.AsynchronousServerSocketChannel
 import java.nio.channels.AsynchronousSocketChannel
 import java.nio.channels.CompletionHandler
-import kotlin.coroutines.Continuation
-import kotlin.coroutines.resume
-import kotlin.coroutines.resumeWithException
+import kotlin.coroutines.ContinuationInterceptor
 
-/** Coroutine forms of the NIO.2 channel operations. Cancelling one closes its channel. */
-private class Resume<T> : CompletionHandler<T, Continuation<T>> {
+/**
+ * Coroutine forms of the NIO.2 channel operations. Cancelling one closes its channel.
+ *
+ * Completions arrive as events of the loop that the coroutine runs on, so the coroutine goes on within that event: dispatched
+ * anew, each operation would wait for its turn in the loop's queue twice.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+private class Resume<T> : CompletionHandler<T, CancellableContinuation<T>> {
     override fun completed(
         result: T,
-        attachment: Continuation<T>,
-    ) = attachment.resume(result)
+        attachment: CancellableContinuation<T>,
+    ) = with(attachment) { dispatcher(this).resumeUndispatched(result) }
 
     override fun failed(
         exc: Throwable,
-        attachment: Continuation<T>,
-    ) = attachment.resumeWithException(if (exc is IOException) exc else IOException(exc))
+        attachment: CancellableContinuation<T>,
+    ) = with(attachment) { dispatcher(this).resumeUndispatchedWithException(if (exc is IOException) exc else IOException(exc)) }
+
+    private fun dispatcher(continuation: CancellableContinuation<T>) = continuation.context[ContinuationInterceptor] as CoroutineDispatcher
 }
 
 private val resumeInt = Resume<Int>()
@@ -53,9 +62,10 @@
     }
 }
 
-suspend fun AsynchronousServerSocketChannel.next(): AsynchronousSocketChannel =
+/** The next connection; [start] runs the block that asks for it. */
+suspend fun AsynchronousServerSocketChannel.next(start: (() -> Unit) -> Unit): AsynchronousSocketChannel =
     suspendCancellableCoroutine { c ->
-        accept(c, resumeChannel)
+        start { accept(c, resumeChannel) }
     }
 
 fun AsynchronousSocketChannel.closeQuietly() {
--- a/src/main/kotlin/mintfield/io/http/HttpServer.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpServer.kt
@@ -66,11 +66,17 @@
         }
     }
 
+    /**
+     * Connections that are waiting are taken several at a time, ahead of other events: each used to wait for its turn behind
+     * all that was queued, and after a take-over workers lost their leases in the kernel's queue.
+     */
     private suspend fun acceptAll() {
+        var inRow = 0
         while (true) {
+            val ahead = ++inRow % Tuning.ACCEPTS_IN_ROW != 0
             val channel =
                 try {
-                    listener.next()
+                    listener.next { accept -> if (ahead) loop.ahead(accept) else accept() }
                 } catch (e: IOException) {
                     Log.debug("accept failed: $e")
                     delay(Tuning.ACCEPT_PAUSE_MS)
--- a/src/main/kotlin/mintfield/io/loop/EventLoop.kt
+++ b/src/main/kotlin/mintfield/io/loop/EventLoop.kt
@@ -9,7 +9,7 @@
 import kotlinx.coroutines.Runnable
 import java.util.PriorityQueue
 import java.util.concurrent.AbstractExecutorService
-import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.LinkedBlockingDeque
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.CoroutineContext
 
@@ -21,7 +21,7 @@
 class EventLoop :
     CoroutineDispatcher(),
     Delay {
-    private val queue = LinkedBlockingQueue<Runnable>()
+    private val queue = LinkedBlockingDeque<Runnable>()
     private val timers = PriorityQueue<Timer>()
     private val thread = Thread({ run() }, "mintfield-loop")
 
@@ -40,6 +40,22 @@
         queue.add(Runnable { })
     }
 
+    /** Set while [ahead] runs; only used on the loop. */
+    private var completionsAhead = false
+
+    /**
+     * Runs [action], which starts an operation of a channel. If that completes at once, its completion becomes the next event
+     * instead of the last. Only to be called on the loop.
+     */
+    fun ahead(action: () -> Unit) {
+        completionsAhead = true
+        try {
+            action()
+        } finally {
+            completionsAhead = false
+        }
+    }
+
     fun post(task: Runnable) {
         queue.add(task)
     }
@@ -151,7 +167,7 @@
 
     private inner class LoopExecutor : AbstractExecutorService() {
         override fun execute(command: Runnable) {
-            queue.add(command)
+            if (Thread.currentThread() === thread && completionsAhead) queue.addFirst(command) else queue.add(command)
         }
 
         override fun shutdown() = this@EventLoop.stop()
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -150,6 +150,7 @@
     private var refusedSinceMs: Long? = null
 
     private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = Tuning.RELAY_LANES + 2) }
+    private val answeredAtMs = HashMap<String, Long>()
     private val lanes = settings.siblings.associate { it.member to Semaphore(Tuning.RELAY_LANES) }
 
     fun start() {
@@ -207,6 +208,15 @@
         return passOn(leader, client, "/relay", bytes, Tuning.RELAY_TIMEOUT_MS)
     }
 
+    /**
+     * Whether [leader] answers, but more reports are on their way to it from here than it is given at once: what waits in this
+     * line would time out, though the leader would have answered the worker itself.
+     */
+    fun relaysCrowded(leader: String): Boolean {
+        val lane = lanes[leader] ?: return false
+        return lane.availablePermits == 0 && answeredAtMs[leader]?.let { loop.nowMs() - it < Tuning.RELAY_ANSWERED_MS } ?: false
+    }
+
     /** Sends [bytes] to [sibling] when one of its lanes is free; null without an answer in [timeoutMs], the wait included. */
     private suspend fun passOn(
         sibling: String,
@@ -217,6 +227,7 @@
     ): RelayAnswer? {
         val reply = withTimeoutOrNull(timeoutMs) { lanes.getValue(sibling).withPermit { client.call("POST", path, bytes, timeoutMs) } }
         if (reply !is Reply.Answer || reply.status != 200) return null
+        answeredAtMs[sibling] = loop.nowMs()
         return decode(RelayAnswer.serializer(), reply.body)
     }
 
