--- /dev/null
+++ b/src/test/kotlin/mintfield/FinalStatesTest.kt
@@ -0,0 +1,23 @@
+package mintfield
+
+import mintfield.app.FinalStates
+import mintfield.core.model.FinalState
+import mintfield.core.model.Stage
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+class FinalStatesTest {
+    @Test
+    fun `beyond the capacity the state that was used least recently is dropped`() {
+        val states = FinalStates(2)
+        val done = FinalState(Stage.DONE, 1)
+        states["wk-1"] = done
+        states["wk-2"] = done
+        states["wk-1"]
+        states["wk-3"] = done
+        assertEquals(done, states["wk-1"])
+        assertNull(states["wk-2"])
+        assertEquals(done, states["wk-3"])
+    }
+}
