--- a/src/main/kotlin/mintfield/app/CloudDesk.kt
+++ b/src/main/kotlin/mintfield/app/CloudCalls.kt
@@ -8,7 +8,7 @@
 import mintfield.io.loop.Log
 
 /** Carries out what the fleet manager asks of the cloud, and brings it the answers. */
-class CloudDesk(
+class CloudCalls(
     private val loop: EventLoop,
     private val cloud: CloudClient,
     private val fleet: FleetManager,
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -8,9 +8,9 @@
 import kotlinx.coroutines.plus
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationHorizon
+import mintfield.core.leadership.LeaderRole
 import mintfield.core.leadership.LeaseClock
 import mintfield.core.leadership.Role
-import mintfield.core.leadership.Standing
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
 import mintfield.io.store.Entry
@@ -38,7 +38,7 @@
 
     /** Tells this process from an earlier one of the same member. */
     private val nonce = java.lang.Long.toHexString(random.nextLong())
-    val standing = Standing { Log.info(it) }
+    val leadership = LeaderRole { Log.info(it) }
     var leader: Leader? = null
         private set
 
@@ -46,7 +46,7 @@
     private var heardLeader: String? = null
 
     /** Whom workers should go to, as far as is known. */
-    val known: String? get() = if (standing.role == Role.SEEKING) heardLeader else standing.leader
+    val known: String? get() = if (leadership.role == Role.SEEKING) heardLeader else leadership.leader
 
     suspend fun run() {
         while (true) {
@@ -61,9 +61,9 @@
     }
 
     private suspend fun step() {
-        when (standing.role) {
+        when (leadership.role) {
             Role.SEEKING, Role.FOLLOWING -> seek()
-            Role.STANDING -> stand()
+            Role.CANDIDATE -> stand()
             Role.LEADING -> delay(Tuning.TICK_MS)
         }
     }
@@ -73,7 +73,7 @@
             is StoreResult.Ok -> {
                 val entry = r.value
                 when {
-                    entry == null -> standing.moveTo(Role.STANDING, null)
+                    entry == null -> leadership.moveTo(Role.CANDIDATE, null)
                     entry.data["member"] == me && leader == null -> endOwn(entry)
                     else -> follow(entry)
                 }
@@ -87,11 +87,11 @@
     private suspend fun endOwn(entry: Entry) {
         Log.info("ending the lease of an earlier process of $me, term ${entry.mark}")
         entry.lease?.let { store.endLease(it) }
-        standing.moveTo(Role.SEEKING, null)
+        leadership.moveTo(Role.SEEKING, null)
     }
 
     private suspend fun follow(entry: Entry) {
-        standing.moveTo(Role.FOLLOWING, entry.data["member"] as? String)
+        leadership.moveTo(Role.FOLLOWING, entry.data["member"] as? String)
         var after = entry.mark
         while (true) {
             when (val r = store.watch(Keys.LEADER, after, Tuning.LEADER_WATCH_MS, urgent = true)) {
@@ -99,8 +99,8 @@
                     if (r.value.tooOld) return
                     val last = r.value.log.lastOrNull()
                     after = maxOf(after, r.value.revision)
-                    if (last != null && last.data == null) return standing.moveTo(Role.STANDING, null)
-                    if (last != null) standing.moveTo(Role.FOLLOWING, last.data?.get("member") as? String)
+                    if (last != null && last.data == null) return leadership.moveTo(Role.CANDIDATE, null)
+                    if (last != null) leadership.moveTo(Role.FOLLOWING, last.data?.get("member") as? String)
                 }
 
                 else -> return delay(Tuning.STORE_RETRY_MS * 2)
@@ -114,7 +114,7 @@
         val lease = (store.grantLease(leaseMs) as? StoreResult.Ok)?.value
         if (lease == null) {
             delay(Tuning.STORE_RETRY_MS)
-            return standing.moveTo(Role.SEEKING, null)
+            return leadership.moveTo(Role.SEEKING, null)
         }
         val put = KeyWrite.Put(Keys.LEADER, Leader.leaderValue(me, nonce), lease)
         val r = store.txn(listOf(Guard(Keys.LEADER, 0)), listOf(put), urgent = true)
@@ -126,7 +126,7 @@
             }
         if (term == null) {
             store.endLease(lease)
-            return standing.moveTo(Role.SEEKING, null)
+            return leadership.moveTo(Role.SEEKING, null)
         }
         lead(term, lease, LeaseClock(leaseMs, sentAt))
     }
@@ -142,7 +142,7 @@
         lease: Long,
         clock: LeaseClock,
     ) {
-        standing.moveTo(Role.LEADING, me)
+        leadership.moveTo(Role.LEADING, me)
         Log.info("leading with term $term")
         val terms = scope + SupervisorJob(scope.coroutineContext[Job])
         val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term, horizon) { why -> depose(terms, why) }
@@ -159,7 +159,7 @@
         Log.info("not leading any more: $why")
         leader = null
         view.listener = null
-        standing.moveTo(Role.SEEKING, null)
+        leadership.moveTo(Role.SEEKING, null)
         terms.cancel()
     }
 
@@ -177,6 +177,6 @@
             heardLeader = sibling
             return
         }
-        if (mine == null && standing.role == Role.SEEKING) heardLeader = sibling
+        if (mine == null && leadership.role == Role.SEEKING) heardLeader = sibling
     }
 }
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -8,9 +8,9 @@
 import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.CancellationLog
 import mintfield.core.leadership.CancellationPage
-import mintfield.core.leadership.Detours
-import mintfield.core.leadership.Parking
-import mintfield.core.leadership.WorkerRounds
+import mintfield.core.leadership.IsolatedLeaderProbe
+import mintfield.core.leadership.SiblingRedirects
+import mintfield.core.leadership.SilentSiblingRelay
 import mintfield.core.model.Settings
 import mintfield.core.model.fittingTypes
 import mintfield.io.http.HttpMessage
@@ -45,9 +45,9 @@
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, cancellations::telling) { peers.storeCut() }
-    private val rounds = WorkerRounds(Timings(settings).sendOnMs)
-    private val detours = Detours()
-    private val parking = Parking(settings.siblings.map { it.member } + settings.member, settings.member)
+    private val rounds = IsolatedLeaderProbe(Timings(settings).sendOnMs)
+    private val siblingRedirects = SiblingRedirects()
+    private val parking = SilentSiblingRelay(settings.siblings.map { it.member } + settings.member, settings.member)
     private val reader = WorkerCodec.Reader(settings.maxSockets)
     private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
 
@@ -260,7 +260,7 @@
         request: HttpMessage,
     ): Response {
         val report = reader.report(request.body) ?: return Response.error(400, "not a report")
-        val to = detours.offer(report.machine, peers.heardBesides(leader), loop.nowMs())
+        val to = siblingRedirects.offer(report.machine, peers.heardBesides(leader), loop.nowMs())
         return Response(421, Json.obj { to?.let { writeStringField("steward", it) } })
     }
 
--- a/src/main/kotlin/mintfield/app/Replay.kt
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -66,8 +66,12 @@
         )
     }
 
-    /** Lets workers be renewed before the processor is taken for reading and replaying. */
+    /**
+     * Lets workers be renewed before the processor is taken for reading and replaying. Only just after the start is that needed:
+     * most code still runs interpreted then, and after an end of all controllers the leases are half used up.
+     */
     private suspend fun renewFirst() {
+        if (loop.nowMs() - loop.startedAtMs > Tuning.WARMED_UP_MS) return
         val from = loop.nowMs()
         delay(Tuning.RENEWALS_QUIET_MS)
         while (scheduler.renewing(loop.nowMs()) && loop.nowMs() - from < Tuning.RENEWALS_FIRST_MS) delay(Tuning.RENEWALS_STEP_MS)
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -1,13 +1,13 @@
 package mintfield.core
 
-import mintfield.core.fleet.Disowning
 import mintfield.core.fleet.FleetManager
 import mintfield.core.fleet.ListedMachine
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
+import mintfield.core.fleet.SilentZones
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Belief
-import mintfield.core.jobs.DirectLine
+import mintfield.core.jobs.DirectCommands
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.ReportHandler
 import mintfield.core.jobs.RoundLedger
@@ -55,10 +55,10 @@
     private val reports = ReportHandler(cluster, log)
     private val round = Round(cluster, log)
     val fleet = FleetManager(cluster, log)
-    val disowning = Disowning(cluster, log)
+    val disowning = SilentZones(cluster, log)
 
     private val ledger = RoundLedger(cluster, fleet)
-    private val direct = DirectLine(cluster, reports, log)
+    private val direct = DirectCommands(cluster, reports, log)
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -77,6 +77,9 @@
     /** Milliseconds between looks whether a leader is known. */
     const val LISTEN_STEP_MS = 20L
 
+    /** Milliseconds after its start from which on a controller has compiled what it runs most, and renews and replays at once. */
+    const val WARMED_UP_MS = 30_000L
+
     /** Milliseconds without a worker's first report after which a new leader replays, the most that it waits for that, and between
      *  two looks. Replaying takes the processor for a second or more on a small machine, while workers' leases run out. */
     const val RENEWALS_QUIET_MS = 300L
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -240,7 +240,7 @@
             byZone.merge(m.zone, 1, Int::plus)
             if (nowMs - m.heardAtMs > cluster.timings.freshReportMs) silentByZone.merge(m.zone, 1, Int::plus)
         }
-        val deaf = cluster.machines.values.count { it.state == MachineState.UP && it.hearing.state == HearingState.DEAF }
+        val deaf = cluster.machines.values.count { it.state == MachineState.UP && it.hearing.state == ReachabilityState.DEAF }
         // Many at once speak of the network, not of the machines.
         val returnDeaf = deaf <= maxOf(Tuning.DEAF_FEW, (cluster.machines.size * Tuning.DEAF_SHARE).toInt())
         for (m in cluster.machines.values.toList()) {
@@ -266,7 +266,7 @@
         nowMs: Long,
     ) {
         if (!returnDeaf) return
-        if (m.hearing.state == HearingState.DEAF && nowMs - m.hearing.sinceMs > Tuning.DEAF_RETURN_MS) {
+        if (m.hearing.state == ReachabilityState.DEAF && nowMs - m.hearing.sinceMs > Tuning.DEAF_RETURN_MS) {
             return condemn(m, nowMs, "it has not heard us for ${(nowMs - m.hearing.sinceMs) / 1000} s")
         }
         if (m.count(AttemptState.STOPPING) == 0) return
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -50,7 +50,7 @@
     var answeredAtMs = NEVER
 
     /** Whether our answers and commands reach it. */
-    val hearing = Hearing()
+    val hearing = Reachability()
 
     /**
      * Lowest term that its worker must have seen for tasks to be planned here. A new leader cannot tell a late copy of an
@@ -229,7 +229,7 @@
 
     /** Whether it is, or will most likely be, of use for a while. */
     val lasting: Boolean
-        get() = (state == MachineState.UP || state == MachineState.AWAITED) && takenAtMs == null && hearing.state != HearingState.DEAF
+        get() = (state == MachineState.UP || state == MachineState.AWAITED) && takenAtMs == null && hearing.state != ReachabilityState.DEAF
 
     /** Whether a task may be planned here now. */
     fun open(
--- a/src/main/kotlin/mintfield/core/fleet/Hearing.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Reachability.kt
@@ -4,7 +4,7 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.model.Report
 
-enum class HearingState {
+enum class ReachabilityState {
     /** Nothing speaks against it. */
     HEARS,
 
@@ -20,8 +20,8 @@
  * starts none of them and loses its tasks with each lease. It shows by what its reports lack: the term and the starts of
  * the answer before, or a lease that ran out although each report was answered.
  */
-class Hearing {
-    var state = HearingState.HEARS
+class Reachability {
+    var state = ReachabilityState.HEARS
         private set
 
     /** Steady milliseconds; when it became deaf. */
@@ -37,15 +37,15 @@
     private var seasonSinceMs = 0L
     private var missed = 0
 
-    val sure: Boolean get() = state == HearingState.HEARS
+    val sure: Boolean get() = state == ReachabilityState.HEARS
 
     /** The only place where the state changes; true if it did. */
     private fun moveTo(
-        next: HearingState,
+        next: ReachabilityState,
         nowMs: Long,
     ): Boolean {
         if (next == state) return false
-        if (next == HearingState.DEAF) {
+        if (next == ReachabilityState.DEAF) {
             sinceMs = nowMs
             times++
         }
@@ -86,7 +86,7 @@
             runs.isEmpty() || report.tasks.any { t -> runs.any { it.index == t.task.index && it.number == t.attempt && it.job.spec.id == t.task.job } }
         if (report.termSeen < term || !started) return miss(1, nowMs)
         // That nothing is missed proves something only if there was something to miss, or if its lease goes on.
-        return if (runs.isNotEmpty() || report.termSeen > m.termSeen || kept || state == HearingState.DOUBTFUL) heard(nowMs) else false
+        return if (runs.isNotEmpty() || report.termSeen > m.termSeen || kept || state == ReachabilityState.DOUBTFUL) heard(nowMs) else false
     }
 
     private fun miss(
@@ -94,13 +94,13 @@
         nowMs: Long,
     ): Boolean {
         missed += weight
-        return moveTo(if (missed >= Tuning.DEAF_ANSWERS) HearingState.DEAF else HearingState.DOUBTFUL, nowMs)
+        return moveTo(if (missed >= Tuning.DEAF_ANSWERS) ReachabilityState.DEAF else ReachabilityState.DOUBTFUL, nowMs)
     }
 
     /** Something that was sent to the machine has had its effect there. */
     fun heard(nowMs: Long): Boolean {
         missed = 0
-        return moveTo(HearingState.HEARS, nowMs)
+        return moveTo(ReachabilityState.HEARS, nowMs)
     }
 
     private companion object {
--- a/src/main/kotlin/mintfield/core/fleet/Disowning.kt
+++ b/src/main/kotlin/mintfield/core/fleet/SilentZones.kt
@@ -22,7 +22,7 @@
  * therefore reads the records before it answers anybody. A machine that turns up has its record deleted first; that takes as
  * long as a transaction, for which its report waits.
  */
-class Disowning(
+class SilentZones(
     private val cluster: Cluster,
     private val log: (String) -> Unit,
 ) {
--- a/src/main/kotlin/mintfield/core/jobs/DirectLine.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCommands.kt
@@ -3,14 +3,14 @@
 import mintfield.core.Cluster
 import mintfield.core.DirectCall
 import mintfield.core.Tuning
-import mintfield.core.fleet.HearingState
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
+import mintfield.core.fleet.ReachabilityState
 import mintfield.core.model.Order
 import mintfield.core.model.Report
 
 /** Starts that are sent straight to workers, so that a task need not wait for its machine's next report. */
-class DirectLine(
+class DirectCommands(
     private val cluster: Cluster,
     private val reports: ReportHandler,
     private val log: (String) -> Unit,
@@ -34,7 +34,7 @@
             if (calls.size >= if (lost) 1 else most) break
             if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs || (m.relayed && !m.parked)) continue
             if (nowMs - m.checkedInAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
-            if (m.hearing.state == HearingState.DEAF) {
+            if (m.hearing.state == ReachabilityState.DEAF) {
                 // Each may take its whole time-out; those that have something to start must not wait behind them.
                 if (++probes <= PROBES_AT_ONCE && most > Tuning.MAX_DIRECT_CALLS / 2) probe(m, nowMs)?.let { calls.add(it) }
                 continue
--- a/src/main/kotlin/mintfield/core/jobs/Blame.kt
+++ b/src/main/kotlin/mintfield/core/jobs/FailureAttribution.kt
@@ -22,7 +22,7 @@
  * Without that, two broken jobs on one rack condemned it, and a broken job of hundreds of tasks took that many slots and
  * image fetches with every try.
  */
-class Blame(
+class FailureAttribution(
     private val cluster: Cluster,
     private val log: (String) -> Unit,
 ) {
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -2,9 +2,9 @@
 
 import mintfield.core.Cluster
 import mintfield.core.Tuning
-import mintfield.core.fleet.HearingState
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
+import mintfield.core.fleet.ReachabilityState
 import mintfield.core.model.EndCause
 import mintfield.core.model.Order
 import mintfield.core.model.Report
@@ -18,7 +18,7 @@
     private val cluster: Cluster,
     private val log: (String) -> Unit,
 ) {
-    val blame = Blame(cluster, log)
+    val blame = FailureAttribution(cluster, log)
 
     /**
      * Takes in [report]. [checkin] tells a worker's own report from the answer to a direct command: only the former
@@ -67,8 +67,8 @@
         nowMs: Long,
     ) {
         val h = m.hearing
-        if (h.state == HearingState.DEAF) log("${m.id} reports but does not hear us: no new tasks there")
-        if (h.state == HearingState.HEARS && h.times > 0) {
+        if (h.state == ReachabilityState.DEAF) log("${m.id} reports but does not hear us: no new tasks there")
+        if (h.state == ReachabilityState.HEARS && h.times > 0) {
             val pause = Tuning.DEAF_PAUSE_MS shl minOf(h.times, Tuning.DEAF_DOUBLINGS)
             m.avoidUntilMs = maxOf(m.avoidUntilMs, nowMs + pause)
             log("${m.id} hears us again, new tasks in $pause ms")
--- a/src/main/kotlin/mintfield/core/leadership/Roundabouts.kt
+++ b/src/main/kotlin/mintfield/core/leadership/DirectReportReturn.kt
@@ -7,7 +7,7 @@
  * controllers, and when the leader stands still they find that out at each sibling in turn. After a cut all workers of a zone
  * come so; one at a time is sent to try, and when one is heard directly the others follow.
  */
-class Roundabouts(
+class DirectReportReturn(
     private val directFreshMs: Long,
 ) {
     private val directAtMs = HashMap<String, Long>()
@@ -49,7 +49,7 @@
  * standing still, which costs it 4 s; so it is sent to a sibling that is heard, once, and after that left to its own order,
  * as it may reach the leader itself.
  */
-class Detours {
+class SiblingRedirects {
     private val sentAtMs = HashMap<String, Long>()
 
     fun offer(
--- a/src/main/kotlin/mintfield/core/leadership/WorkerRounds.kt
+++ b/src/main/kotlin/mintfield/core/leadership/IsolatedLeaderProbe.kt
@@ -4,7 +4,7 @@
  * Lets workers find out what an isolated leader cannot: whether there is another. Each is sent on once; one that finds a
  * new leader stays there, and one that comes back has found none, so that its lease hangs on us alone and is renewed.
  */
-class WorkerRounds(
+class IsolatedLeaderProbe(
     private val sendOnMs: Long,
 ) {
     private val sentOnAtMs = HashMap<String, Long>()
--- a/src/main/kotlin/mintfield/core/leadership/Tenure.kt
+++ b/src/main/kotlin/mintfield/core/leadership/LeaderRole.kt
@@ -10,14 +10,14 @@
     FOLLOWING,
 
     /** Tries to become the leader. */
-    STANDING,
+    CANDIDATE,
 
     /** Leads. */
     LEADING,
 }
 
 /** A member's part in the leadership; every change of it goes through [moveTo]. */
-class Standing(
+class LeaderRole(
     private val log: (String) -> Unit,
 ) {
     var role = Role.SEEKING
@@ -40,9 +40,9 @@
     private companion object {
         val allowed =
             mapOf(
-                Role.SEEKING to setOf(Role.SEEKING, Role.FOLLOWING, Role.STANDING),
-                Role.FOLLOWING to setOf(Role.FOLLOWING, Role.SEEKING, Role.STANDING),
-                Role.STANDING to setOf(Role.SEEKING, Role.LEADING),
+                Role.SEEKING to setOf(Role.SEEKING, Role.FOLLOWING, Role.CANDIDATE),
+                Role.FOLLOWING to setOf(Role.FOLLOWING, Role.SEEKING, Role.CANDIDATE),
+                Role.CANDIDATE to setOf(Role.SEEKING, Role.LEADING),
                 Role.LEADING to setOf(Role.SEEKING),
             )
     }
--- a/src/main/kotlin/mintfield/core/leadership/Parking.kt
+++ b/src/main/kotlin/mintfield/core/leadership/SilentSiblingRelay.kt
@@ -9,7 +9,7 @@
  * the controller after the leader is silent, workers report to a sibling after which comes one that is heard, and that sibling
  * relays their reports.
  */
-class Parking(
+class SilentSiblingRelay(
     members: Collection<String>,
     private val me: String,
 ) {
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -36,7 +36,7 @@
         if (roomy.none && waiting.none { it.spec.shape != Shape.ARRAY || it.spec.priority < Priority.NORMAL }) return 0
         var planned = 0
         val order = urgency.sorted(waiting, wallMs)
-        val turns = Turns(cluster, waiting, wallMs)
+        val turns = StarvationGuard(cluster, waiting, wallMs)
         val arrayCpus = urgency.arrayCapacity()
         val images = ImageRoom(cluster, open, waiting, arrayCpus, nowMs)
         for ((job, tasks) in turns.first(arrayCpus)) {
--- a/src/main/kotlin/mintfield/core/placement/Turns.kt
+++ b/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
@@ -11,7 +11,7 @@
  * What keeps the order of claims from putting a job off for ever: a job that has waited long gets its turn whatever it
  * is worth. With the least work first the largest jobs would otherwise wait for as long as demand stays above capacity.
  */
-class Turns(
+class StarvationGuard(
     private val cluster: Cluster,
     private val waiting: List<Job>,
     private val wallMs: Long,
--- a/src/main/kotlin/mintfield/io/loop/EventLoop.kt
+++ b/src/main/kotlin/mintfield/io/loop/EventLoop.kt
@@ -63,6 +63,9 @@
     /** Steady time in milliseconds, from an arbitrary origin. */
     fun nowMs(): Long = System.nanoTime() / 1_000_000
 
+    /** When this loop, and so most likely its process, began. */
+    val startedAtMs = nowMs()
+
     /** Runs [task] on the loop after [delayMs]; only to be called on the loop. */
     fun after(
         delayMs: Long,
