--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -69,6 +69,12 @@
     private val renewed = HashSet<String>()
     private var lastRenewedMs = Machine.NEVER
 
+    /**
+     * Jobs that siblings told of as withdrawn before the replay. The state service may fall silent before the view shows them,
+     * and what the siblings have told counts as known when workers are renewed.
+     */
+    private val withdrawnBeforeReplay = HashSet<String>()
+
     /** Replay has ended; before, reports are answered with the term only. */
     var loaded = false
         private set
@@ -138,6 +144,7 @@
             job.changed.clear()
             job.staleSinceMs = 0
         }
+        withdrawnBeforeReplay.forEach { id -> cluster.jobs[id]?.withdrawn = true }
         for (job in cluster.jobs.values) if (job.withdrawn) job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "withdrawn", quietly = true) }
     }
 
@@ -212,15 +219,18 @@
         ReportAnswer.Orders(
             cluster.term,
             report.tasks
-                .filter { it.state != ReportedState.ENDED && (cluster.jobs[it.task.job]?.withdrawn == true || recordedWithdrawn(it.task.job)) }
+                .filter { it.state != ReportedState.ENDED && knownWithdrawn(it.task.job) }
                 .map { Order.Halt(it.task, it.attempt, 0.0) },
         )
 
+    private fun knownWithdrawn(job: String) = cluster.jobs[job]?.withdrawn == true || job in withdrawnBeforeReplay || recordedWithdrawn(job)
+
     /** A sibling has told a user that [id] is cancelled: its tasks stop now, whatever this leader can read itself. */
     fun withdrawnElsewhere(
         id: String,
         nowMs: Long,
     ) {
+        if (!loaded) withdrawnBeforeReplay.add(id)
         cluster.jobs[id]?.takeIf { !it.withdrawn }?.let { withdraw(it, nowMs) }
     }
 
