--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -7,18 +7,24 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import mintfield.core.Tuning
+import mintfield.core.jobs.JobChange
+import mintfield.core.jobs.JobListener
+import mintfield.core.jobs.JobRecord
+import mintfield.core.jobs.JobReplica
+import mintfield.core.jobs.KnownJob
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.FinalState
 import mintfield.io.loop.Log
-import mintfield.io.store.Changes
+import mintfield.io.store.Change
 import mintfield.io.store.Keys
+import mintfield.io.store.Page
 import mintfield.io.store.Records
 import mintfield.io.store.StoreClient
 import mintfield.io.store.StoreResult
 
 /**
- * This node's copy of the unfinished jobs, and a cache of final states. The copy may lag; [current] brings it up to
- * the time of the call, with one request to the store for all who wait.
+ * Keeps this node's [JobReplica] by the state service. The replica may lag; [current] brings it up to the time of the call, with
+ * one request to the store for all who wait.
  */
 class JobView(
     private val store: StoreClient,
@@ -27,35 +33,32 @@
     private val nowMs: () -> Long,
     private val fitsAnew: (AcceptedJob) -> List<String>,
 ) {
-    interface Listener {
-        fun changed(job: AcceptedJob)
+    private enum class CatchUp { CURRENT, HISTORY_LOST, NO_ANSWER }
 
-        fun removed(id: String)
-    }
+    private val replica = JobReplica()
+    private var waiters = ArrayList<CompletableDeferred<Boolean>>()
+    private var checking = false
 
-    val live = HashMap<String, AcceptedJob>()
+    /** The unfinished jobs, by id. */
+    val live: Map<String, AcceptedJob> get() = replica.live
 
-    /** Jobs whose record is there but cannot be read: known, and kept, but nothing can be done for them. */
-    val unreadable = HashSet<String>()
-    private val finals = FinalStates(Tuning.MAX_CACHED_FINALS)
-    var listener: Listener? = null
+    /** Whether the jobs have been read. */
+    val loaded: Boolean get() = replica.loaded
+
+    /** Told of jobs that change. */
+    var listener: JobListener? by replica::listener
 
     /** Told when the view shows all that had happened by a moment, in steady milliseconds. */
     var onComplete: (Long) -> Unit = {}
-    var loaded = false
-        private set
-    private var revision = 0L
-    private var waiters = ArrayList<CompletableDeferred<Boolean>>()
-    private var checking = false
 
-    fun final(id: String): FinalState? = finals[id]
+    /** What this node knows of the job [id] now. */
+    fun known(id: String): KnownJob? = replica.known(id)
 
-    fun remember(
+    /** Keeps the final state of job [id], which the state service holds. */
+    fun ended(
         id: String,
         state: FinalState,
-    ) {
-        finals[id] = state
-    }
+    ) = replica.ended(id, state)
 
     /** True once the view shows all that had happened in the store when this was called. */
     suspend fun current(): Boolean {
@@ -71,6 +74,7 @@
     private suspend fun checkWhileWanted() {
         try {
             while (waiters.isNotEmpty()) {
+                // Only who waited before a check was sent may rest on it.
                 val batch = waiters
                 waiters = ArrayList()
                 val ok =
@@ -92,10 +96,10 @@
 
     private suspend fun check(): Boolean {
         if (!loaded) return load()
-        val sentAtMs = nowMs()
-        return when (val r = store.watch(Keys.JOBS, revision, 0)) {
-            is StoreResult.Ok -> apply(r.value, sentAtMs)
-            else -> false
+        return when (catchUp(waitMs = 0)) {
+            CatchUp.CURRENT -> true
+            CatchUp.HISTORY_LOST -> check()
+            CatchUp.NO_ANSWER -> false
         }
     }
 
@@ -106,88 +110,66 @@
                 delay(Tuning.STORE_RETRY_MS)
                 continue
             }
-            val sentAtMs = nowMs()
-            when (val r = store.watch(Keys.JOBS, revision, Tuning.JOBS_WATCH_MS, urgent = true)) {
-                is StoreResult.Ok -> apply(r.value, sentAtMs)
-                else -> delay(Tuning.STORE_RETRY_MS)
-            }
+            if (catchUp(Tuning.JOBS_WATCH_MS, urgent = true) == CatchUp.NO_ANSWER) delay(Tuning.STORE_RETRY_MS)
         }
     }
 
-    /** Reads all unfinished jobs; changes after the first page come by the next watch. */
-    suspend fun load(): Boolean {
+    /** Takes over all changes since the replica's revision, after waiting [waitMs] at the most for one to come. */
+    private suspend fun catchUp(
+        waitMs: Long,
+        urgent: Boolean = false,
+    ): CatchUp {
         val sentAtMs = nowMs()
-        var after: String? = null
-        var first = -1L
-        val found = HashMap<String, AcceptedJob>()
-        while (true) {
-            val page = (store.list(Keys.LIVE, after, Tuning.PAGE) as? StoreResult.Ok)?.value ?: return false
-            if (first < 0) first = page.revision
-            for (e in page.entries) {
-                val job = read(e.key.removePrefix(Keys.LIVE), e.data, e.mark) ?: continue
-                found[job.spec.id] = job
-            }
-            if (!page.hasNext) break
-            after = page.entries.lastOrNull()?.key ?: break
+        val after = replica.revision
+        val changes = (store.watch(Keys.JOBS, after, waitMs, urgent) as? StoreResult.Ok)?.value ?: return CatchUp.NO_ANSWER
+        if (changes.tooOld) {
+            replica.historyLost(after)
+            return CatchUp.HISTORY_LOST
         }
-        if (loaded && revision >= first) return true.also { onComplete(sentAtMs) }
-        val gone = live.keys - found.keys
-        live.clear()
-        live.putAll(found)
-        revision = first
-        loaded = true
-        unreadable.removeAll(found.keys)
-        gone.forEach { listener?.removed(it) }
-        found.values.forEach { listener?.changed(it) }
+        replica.apply(changes.log.mapNotNull(::jobChange), changes.revision)
         onComplete(sentAtMs)
-        return true
+        return CatchUp.CURRENT
     }
 
-    private suspend fun apply(
-        changes: Changes,
-        sentAtMs: Long,
-    ): Boolean {
-        if (changes.tooOld) {
-            loaded = false
-            return load()
-        }
-        // Two watches may be under way; what one has brought the other must not bring again, older.
-        val known = revision
-        for (c in changes.log) {
-            if (c.mark <= known) continue
-            if (c.key.startsWith(Keys.LIVE)) {
-                liveChanged(c.key.removePrefix(Keys.LIVE), c.data, c.mark)
-            } else if (c.key.startsWith(Keys.FINAL) && c.data != null) {
-                finals[c.key.removePrefix(Keys.FINAL)] = Records.parseFinal(c.data)
-            }
+    /** Reads all unfinished jobs; changes after the first page come by the next watch. */
+    private suspend fun load(): Boolean {
+        val sentAtMs = nowMs()
+        replica.beginSnapshot().use { snapshot ->
+            var after: String? = null
+            do {
+                val page = (store.list(Keys.LIVE, after, Tuning.PAGE) as? StoreResult.Ok)?.value ?: return false
+                snapshot.page(page.revision, records(page))
+                after = page.entries.lastOrNull()?.key
+            } while (page.hasNext && after != null)
+            snapshot.complete()
         }
-        revision = maxOf(revision, changes.revision)
         onComplete(sentAtMs)
         return true
     }
 
-    private fun liveChanged(
-        id: String,
-        data: Map<String, Any?>?,
-        mark: Long,
-    ) {
-        if (data == null) {
-            live.remove(id)
-            unreadable.remove(id)
-            listener?.removed(id)
-            return
+    private fun records(page: Page): Map<String, JobRecord> =
+        page.entries.associate { entry ->
+            val id = entry.key.removePrefix(Keys.LIVE)
+            id to record(id, entry.data, entry.mark)
         }
-        val job = read(id, data, mark) ?: return
-        live[id] = job
-        listener?.changed(job)
+
+    private fun jobChange(change: Change): JobChange? {
+        val data = change.data
+        if (change.key.startsWith(Keys.LIVE)) {
+            val id = change.key.removePrefix(Keys.LIVE)
+            return if (data == null) JobChange.Removed(id, change.mark) else JobChange.Written(id, record(id, data, change.mark))
+        }
+        if (!change.key.startsWith(Keys.FINAL) || data == null) return null
+        val state = Records.parseFinal(data) ?: return null
+        return JobChange.Ended(change.key.removePrefix(Keys.FINAL), change.mark, state)
     }
 
     /** One record that cannot be read must stop neither the others nor the answers about its own job. */
-    private fun read(
+    private fun record(
         id: String,
         data: Map<String, Any?>,
         mark: Long,
-    ): AcceptedJob? {
+    ): JobRecord {
         val job =
             try {
                 Records.parseLive(data, mark, fitsAnew)
@@ -195,11 +177,8 @@
                 Log.debug("$id: $e")
                 null
             }
-        if (job != null) {
-            unreadable.remove(id)
-        } else if (unreadable.add(id)) {
-            Log.error("$id: its record of revision $mark cannot be read; it is kept and called pending")
-        }
-        return job
+        if (job != null) return JobRecord.Readable(job)
+        if (!replica.isUnreadable(id, mark)) Log.error("$id: its record of revision $mark cannot be read; it is kept and called pending")
+        return JobRecord.Unreadable(mark)
     }
 }
--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -13,6 +13,7 @@
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
 import mintfield.core.Write
+import mintfield.core.jobs.JobListener
 import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.DirectReportReturn
 import mintfield.core.leadership.LeaseClock
@@ -41,7 +42,7 @@
     term: Long,
     private val horizon: CancellationHorizon,
     private val deposed: (String) -> Unit,
-) : JobView.Listener {
+) : JobListener {
     private val settings = outside.settings
     private val store = outside.store
     val scheduler = Scheduler(settings, term, { view.live[it]?.withdrawn == true }) { Log.info(it) }
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -74,6 +74,9 @@
         group.shutdownNow()
     }
 
+    /** Runs [task] between this node's own events; for tests that make a node stand still. */
+    internal fun runOnLoop(task: Runnable) = loop.post(task)
+
     /**
      * Opens the clients' port once it is known who leads. Until then every worker would be turned away, and to do that for all
      * of them, several times a second, is what keeps a small controller from finding out.
--- a/src/main/kotlin/mintfield/app/Replay.kt
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
+import mintfield.core.jobs.JobListener
 import mintfield.io.cloud.CloudResult
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
@@ -21,7 +22,7 @@
     private val store = outside.store
 
     /** Rebuilds the picture: catalogue, jobs, intents, machines, recorded plans and done-sets; then work goes on. */
-    suspend fun run(listener: JobView.Listener) {
+    suspend fun run(listener: JobListener) {
         val startMs = loop.nowMs()
         // Nobody is renewed on a view of the jobs from before the election.
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import mintfield.core.Tuning
+import mintfield.core.jobs.KnownJob
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.FinalState
 import mintfield.core.model.JobSpec
@@ -14,6 +15,7 @@
 import mintfield.io.http.Response
 import mintfield.io.json.Json
 import mintfield.io.loop.Log
+import mintfield.io.store.Entry
 import mintfield.io.store.Guard
 import mintfield.io.store.KeyWrite
 import mintfield.io.store.Keys
@@ -28,7 +30,10 @@
     val running: Int,
 )
 
-/** What users ask, answered by any node from the store's truth. */
+/**
+ * What users ask, answered by any node from the store's truth. Answers are linearizable: each tells the state of its job at a
+ * moment after its request came, whichever nodes have told what before, and a final state is never left.
+ */
 class UserApi(
     private val settings: Settings,
     private val store: StoreClient,
@@ -41,37 +46,50 @@
     /** Whether the store has not been reached for a while, so that asking it would only make the user wait. */
     private val cutOff: () -> Boolean = { false },
 ) {
-    private val submitting = HashMap<String, CompletableDeferred<Response>>()
+    /** The submissions under way, by job; each completes when it has ended, however that was. */
+    private val submitting = HashMap<String, CompletableDeferred<Unit>>()
 
-    suspend fun submit(request: HttpMessage): Response {
-        val parsed = JobCodec.parse(Json.parse(request.body))
-        return when (parsed) {
+    /** Accepts a job, or tells the state of one that was accepted before. */
+    suspend fun submit(request: HttpMessage): Response =
+        when (val parsed = JobCodec.parse(Json.parse(request.body))) {
             is JobCodec.Parsed.Invalid -> {
-                val id = parsed.id ?: return Response.error(400, parsed.reason)
-                orKnown(id) { Response.error(400, parsed.reason) }
+                val refusal = Response.error(400, parsed.reason)
+                if (parsed.id == null) refusal else orKnown(parsed.id) { refusal }
             }
 
-            is JobCodec.Parsed.Valid -> {
-                val id = parsed.spec.id
-                // The same id may come twice at once; one transaction must not write a key twice.
-                submitting[id]?.let { return it.await() }
-                val shared = CompletableDeferred<Response>()
-                submitting[id] = shared
-                try {
-                    submit(parsed.spec).also {
-                        shared.complete(it)
-                        if (it.status >= 400) Log.info("submission of $id answered ${it.status}: ${String(it.body)}")
-                    }
-                } finally {
-                    submitting.remove(id)
-                    shared.complete(busy("try again"))
-                }
-            }
+            is JobCodec.Parsed.Valid -> submitting[parsed.spec.id]?.let { repeated(parsed.spec, it) } ?: submitAlone(parsed.spec)
+        }
+
+    /**
+     * A submission that comes while another of the same job is under way. It must not share that one's answer, which may rest on
+     * what was so before this request came: another node may have told meanwhile that the job is done or cancelled (rule
+     * `went_back`). So the job is looked up anew, now and again once the other has ended.
+     */
+    private suspend fun repeated(
+        spec: JobSpec,
+        earlier: CompletableDeferred<Unit>,
+    ): Response =
+        orKnown(spec.id) {
+            earlier.await()
+            orKnown(spec.id) { if (spec.id in submitting) busy("it is being submitted") else submitAlone(spec) }
+        }
+
+    /** One at a time for each job: one transaction must not write a key twice. */
+    private suspend fun submitAlone(spec: JobSpec): Response {
+        val ended = CompletableDeferred<Unit>()
+        submitting[spec.id] = ended
+        try {
+            val response = submit(spec)
+            if (response.status >= 400) Log.info("submission of ${spec.id} answered ${response.status}: ${String(response.body)}")
+            return response
+        } finally {
+            submitting.remove(spec.id)
+            ended.complete(Unit)
         }
     }
 
     private suspend fun submit(spec: JobSpec): Response {
-        view.final(spec.id)?.let { return state(spec.id, it.stage, it.tasks, 200) }
+        (view.known(spec.id) as? KnownJob.Ended)?.let { return answer(spec.id, it) }
         val known = types()
         if (known.isEmpty()) return orKnown(spec.id) { busy("the machine types are not known yet") }
         val fits = fittingTypes(spec, known)
@@ -83,7 +101,7 @@
         if (json.size > settings.valueKb * 1024) return orKnown(spec.id) { Response.error(400, "the description is too long") }
         val guards = listOf(Guard(Keys.live(spec.id), 0), Guard(Keys.final(spec.id), 0))
         return when (changes.write(guards, listOf(KeyWrite.Put(Keys.live(spec.id), json)))) {
-            ChangeResult.APPLIED -> state(spec.id, Stage.PENDING, 0, 201)
+            ChangeResult.APPLIED -> accepted(spec.id)
             ChangeResult.CONFLICT -> orKnown(spec.id) { busy("try again") }
             ChangeResult.REFUSED -> busy("the state service does not take it now")
             ChangeResult.UNKNOWN -> orKnown(spec.id) { busy("not known yet whether it was accepted") }
@@ -106,75 +124,135 @@
     private suspend inline fun orKnown(
         id: String,
         otherwise: () -> Response,
-    ): Response {
-        val found = find(id) ?: return busy("the state service cannot be asked now")
-        return if (found.known) found.response(200) else otherwise()
-    }
+    ): Response =
+        when (val found = lookUp(id)) {
+            is Lookup.Found -> answer(id, found.job)
+            Lookup.NotFound -> otherwise()
+            Lookup.Unavailable -> busy("the state service cannot be asked now")
+        }
+
+    /** What became of the question whether a job is known. */
+    private sealed interface Lookup {
+        class Found(
+            val job: KnownJob,
+        ) : Lookup
 
-    private inner class Found(
-        val id: String,
-        val stage: Stage?,
-        val doneTasks: Int,
-        val live: AcceptedJob?,
-    ) {
-        val known get() = stage != null
+        /** At some moment since the question no such job had been accepted. */
+        data object NotFound : Lookup
 
-        fun response(status: Int) = state(id, stage!!, doneTasks, status)
+        /** The store cannot be asked. */
+        data object Unavailable : Lookup
     }
 
-    /** Looks a job up, at the store's present. Null if the store cannot be asked. */
-    private suspend fun find(id: String): Found? {
-        view.final(id)?.let { return Found(id, it.stage, it.tasks, view.live[id]) }
-        if (cutOff() || !view.current()) return null
-        view.final(id)?.let { return Found(id, it.stage, it.tasks, view.live[id]) }
-        view.live[id]?.let { return Found(id, if (it.withdrawn) Stage.WITHDRAWN else displayStage(id), progress(id)?.done ?: 0, it) }
-        if (id in view.unreadable) return Found(id, Stage.PENDING, 0, null)
+    /** Looks a job up, as it is in the store now or later. */
+    private suspend fun lookUp(id: String): Lookup {
+        // A final state stays, so what is cached of it is as good as the store's.
+        (view.known(id) as? KnownJob.Ended)?.let { return Lookup.Found(it) }
+        if (cutOff() || !view.current()) return Lookup.Unavailable
+        val known = view.known(id)
+        if (known is KnownJob.Ended || known is KnownJob.Live) return Lookup.Found(known)
+        // Of a job without a readable record only its final state, which may be long past, can tell more.
         return when (val r = store.get(Keys.final(id))) {
-            is StoreResult.Ok -> {
-                val final = r.value?.let { Records.parseFinal(it.data) }
-                final?.let { view.remember(id, it) }
-                Found(id, final?.stage, final?.tasks ?: 0, null)
-            }
-
-            else -> null
+            is StoreResult.Ok -> (r.value?.let { final(id, it) } ?: view.known(id))?.let { Lookup.Found(it) } ?: Lookup.NotFound
+            else -> Lookup.Unavailable
         }
     }
 
-    private fun displayStage(id: String) = if ((progress(id)?.running ?: 0) > 0) Stage.RUNNING else Stage.PENDING
+    /** What the final state's [entry] tells. One that cannot be read is neither done nor withdrawn, but its job was accepted. */
+    private fun final(
+        id: String,
+        entry: Entry,
+    ): KnownJob {
+        val state = Records.parseFinal(entry.data)
+        if (state == null) {
+            Log.error("$id: its final state of revision ${entry.mark} cannot be read; it is kept and the job called pending")
+            return KnownJob.Unreadable
+        }
+        view.ended(id, state)
+        return KnownJob.Ended(state)
+    }
 
+    /** The state of the job [id]. */
     suspend fun poll(id: String): Response {
-        if (!JobCodec.isId(id)) return Response.error(404, "no such job")
-        val found = find(id) ?: return busy("the state service cannot be asked now")
-        return if (found.known) found.response(200) else Response.error(404, "no such job")
+        val notFound = Response.error(404, "no such job")
+        return if (JobCodec.isId(id)) orKnown(id) { notFound } else notFound
     }
 
+    /** Cancels the job [id], unless it has ended. */
     suspend fun abort(id: String): Response {
-        if (!JobCodec.isId(id)) return Response.error(404, "no such job")
+        val notFound = Response.error(404, "no such job")
+        if (!JobCodec.isId(id)) return notFound
         repeat(ABORT_TRIES) {
-            val found = find(id) ?: return busy("the state service cannot be asked now")
-            if (!found.known) return Response.error(404, "no such job")
-            if (found.stage == Stage.DONE || found.stage == Stage.WITHDRAWN) return found.response(200)
-            val job = found.live ?: return busy("try again")
-            val withdrawn = FinalState(Stage.WITHDRAWN, progress(id)?.done ?: 0)
-            val guards = listOf(Guard(Keys.live(id), job.mark), Guard(Keys.final(id), 0))
-            val writes =
-                listOf(
-                    KeyWrite.Put(Keys.final(id), Records.final(withdrawn)),
-                    KeyWrite.Put(Keys.live(id), Records.live(job.copy(withdrawn = true))),
-                )
-            when (changes.write(guards, writes)) {
-                ChangeResult.APPLIED -> {
-                    view.remember(id, withdrawn)
-                    return state(id, Stage.WITHDRAWN, withdrawn.tasks, 200)
+            val found =
+                when (val lookup = lookUp(id)) {
+                    is Lookup.Found -> lookup.job
+                    Lookup.NotFound -> return notFound
+                    Lookup.Unavailable -> return busy("the state service cannot be asked now")
+                }
+            when (found) {
+                is KnownJob.Ended -> return answer(id, found)
+                KnownJob.Unreadable -> return busy("what is recorded of it cannot be read")
+                is KnownJob.Live -> {
+                    if (found.job.withdrawn) return answer(id, found)
+                    cancel(found.job)?.let { return it }
                 }
-
-                ChangeResult.REFUSED -> return busy("the state service does not take it now")
-                ChangeResult.CONFLICT, ChangeResult.UNKNOWN -> {}
             }
         }
         return busy("try again")
     }
 
+    /** Writes that [job] is withdrawn; null if it is not known whether it is, or it had changed meanwhile. */
+    private suspend fun cancel(job: AcceptedJob): Response? {
+        val id = job.spec.id
+        val withdrawn = FinalState(Stage.WITHDRAWN, progress(id)?.done ?: 0)
+        val guards = listOf(Guard(Keys.live(id), job.mark), Guard(Keys.final(id), 0))
+        val writes =
+            listOf(
+                KeyWrite.Put(Keys.final(id), Records.final(withdrawn)),
+                KeyWrite.Put(Keys.live(id), Records.live(job.copy(withdrawn = true))),
+            )
+        return when (changes.write(guards, writes)) {
+            ChangeResult.APPLIED -> {
+                view.ended(id, withdrawn)
+                answer(id, KnownJob.Ended(withdrawn))
+            }
+
+            ChangeResult.REFUSED -> busy("the state service does not take it now")
+            ChangeResult.CONFLICT, ChangeResult.UNKNOWN -> null
+        }
+    }
+
+    /** A submission was accepted, and may have been cancelled or ended before that was known here. */
+    private fun accepted(id: String): Response {
+        val known = view.known(id)
+        val ended = known is KnownJob.Ended || known is KnownJob.Live && known.job.withdrawn
+        return if (ended) answer(id, known) else unfinished(id, status = 201)
+    }
+
+    /**
+     * The one place where a job's state is put into an answer. [known] must have been read since the request came, and nothing may
+     * suspend between that reading and this call; a final state that has become known since then counts before it.
+     */
+    private fun answer(
+        id: String,
+        known: KnownJob,
+    ): Response =
+        when (val newest = view.known(id) as? KnownJob.Ended ?: known) {
+            is KnownJob.Ended -> state(id, newest.state.stage, newest.state.tasks, status = 200)
+            is KnownJob.Live -> if (newest.job.withdrawn) state(id, Stage.WITHDRAWN, doneTasks(id), status = 200) else unfinished(id, status = 200)
+            KnownJob.Unreadable -> unfinished(id, status = 200)
+        }
+
+    private fun unfinished(
+        id: String,
+        status: Int,
+    ): Response {
+        val stage = if ((progress(id)?.running ?: 0) > 0) Stage.RUNNING else Stage.PENDING
+        return state(id, stage, doneTasks(id), status)
+    }
+
+    private fun doneTasks(id: String) = progress(id)?.done ?: 0
+
     private fun state(
         id: String,
         stage: Stage,
--- a/src/main/kotlin/mintfield/app/FinalStates.kt
+++ b/src/main/kotlin/mintfield/core/jobs/FinalStates.kt
@@ -1,4 +1,4 @@
-package mintfield.app
+package mintfield.core.jobs
 
 import mintfield.core.model.FinalState
 
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -25,6 +25,8 @@
  * the rule does not want is left out, and computed anew by a replay.
  */
 object Records {
+    private val FINAL_STAGES = listOf(Stage.DONE, Stage.WITHDRAWN).associateBy { it.name.lowercase() }
+
     fun live(job: AcceptedJob): ByteArray =
         Json.obj {
             writeFieldName("spec")
@@ -55,7 +57,11 @@
             writeNumberField("tasks", state.tasks)
         }
 
-    fun parseFinal(data: Map<String, Any?>) = FinalState(if (data.string("stage") == "done") Stage.DONE else Stage.WITHDRAWN, data.long("tasks")?.toInt() ?: 0)
+    /** Null if it cannot be read: what is not known to be withdrawn is not called so. */
+    fun parseFinal(data: Map<String, Any?>): FinalState? {
+        val stage = FINAL_STAGES[data.string("stage")] ?: return null
+        return FinalState(stage, data.long("tasks")?.toInt() ?: 0)
+    }
 
     private fun plans(
         to: JsonGenerator,
--- a/src/test/kotlin/mintfield/FinalStatesTest.kt
+++ b/src/test/kotlin/mintfield/FinalStatesTest.kt
@@ -1,6 +1,6 @@
 package mintfield
 
-import mintfield.app.FinalStates
+import mintfield.core.jobs.FinalStates
 import mintfield.core.model.FinalState
 import mintfield.core.model.Stage
 import org.junit.jupiter.api.Assertions.assertEquals
--- /dev/null
+++ b/src/test/kotlin/mintfield/JobReplicaTest.kt
@@ -0,0 +1,149 @@
+package mintfield
+
+import mintfield.core.jobs.JobChange
+import mintfield.core.jobs.JobListener
+import mintfield.core.jobs.JobRecord
+import mintfield.core.jobs.JobReplica
+import mintfield.core.jobs.KnownJob
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.FinalState
+import mintfield.core.model.Stage
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Several readings of the state service are under way at once, and arrive in any order: nothing may be replaced by something older. */
+class JobReplicaTest {
+    private val replica = JobReplica()
+    private val done = FinalState(Stage.DONE, 1)
+
+    private fun job(
+        mark: Long,
+        id: String = "wk-1",
+        withdrawn: Boolean = false,
+    ) = Fixtures.accepted(Fixtures.spec(id), mark, withdrawn = withdrawn)
+
+    private fun record(job: AcceptedJob) = JobRecord.Readable(job)
+
+    private fun written(job: AcceptedJob) = JobChange.Written(job.spec.id, record(job))
+
+    private fun load(
+        revision: Long,
+        vararg jobs: AcceptedJob,
+    ) = replica.beginSnapshot().use {
+        it.page(revision, jobs.associate { job -> job.spec.id to record(job) })
+        it.complete()
+    }
+
+    /** What a listener is told, in its order. */
+    private fun heard(): List<String> {
+        val told = ArrayList<String>()
+        replica.listener =
+            object : JobListener {
+                override fun changed(job: AcceptedJob) {
+                    told += "${job.spec.id} changed at ${job.mark}"
+                }
+
+                override fun removed(id: String) {
+                    told += "$id removed"
+                }
+            }
+        return told
+    }
+
+    @Test
+    fun `the revision of a change decides, not its place in the list`() {
+        load(400)
+        val told = heard()
+        replica.apply(listOf(written(job(432, withdrawn = true)), written(job(430))), upTo = 433)
+        assertEquals(KnownJob.Live(job(432, withdrawn = true)), replica.known("wk-1"))
+        assertEquals(listOf("wk-1 changed at 430", "wk-1 changed at 432"), told)
+        replica.apply(listOf(JobChange.Removed("wk-1", 450), written(job(440, withdrawn = true))), upTo = 451)
+        assertEquals(null, replica.known("wk-1"))
+        assertEquals("wk-1 removed", told.last())
+    }
+
+    @Test
+    fun `the two keys of one transaction may come in either order`() {
+        val ends = listOf(JobChange.Ended("wk-1", 440, done), JobChange.Removed("wk-1", 440))
+        for (changes in listOf(ends, ends.reversed())) {
+            val replica = JobReplica()
+            replica.beginSnapshot().use {
+                it.page(430, mapOf("wk-1" to record(job(420))))
+                it.complete()
+            }
+            replica.apply(changes, upTo = 440)
+            assertEquals(KnownJob.Ended(done), replica.known("wk-1"))
+            assertTrue(replica.live.isEmpty())
+        }
+    }
+
+    @Test
+    fun `a watch that answers late brings nothing back`() {
+        load(400, job(390))
+        replica.apply(listOf(JobChange.Removed("wk-1", 420), written(job(425, "wk-2"))), upTo = 430)
+        replica.apply(listOf(written(job(410))), upTo = 412)
+        assertEquals(setOf("wk-2"), replica.live.keys)
+        assertEquals(430, replica.revision)
+    }
+
+    @Test
+    fun `a snapshot that is complete late takes back nothing that has been learned meanwhile`() {
+        // A poll that was answered by a watch had been told of wk-2 and of the end of wk-1; the leader must not be told otherwise.
+        load(400, job(390))
+        val snapshot = replica.beginSnapshot()
+        snapshot.page(410, mapOf("wk-1" to record(job(390)), "wk-3" to record(job(405, "wk-3"))))
+        replica.historyLost(400)
+        replica.apply(listOf(written(job(405, "wk-3")), JobChange.Removed("wk-1", 420), written(job(425, "wk-2"))), upTo = 430)
+        val told = heard()
+        snapshot.complete()
+        snapshot.close()
+        assertEquals(setOf("wk-2", "wk-3"), replica.live.keys)
+        assertEquals(430, replica.revision)
+        assertTrue(replica.loaded)
+        assertEquals(emptyList<String>(), told)
+    }
+
+    @Test
+    fun `a snapshot removes what it does not hold, and only that`() {
+        load(400, job(390), job(391, "wk-2"))
+        val told = heard()
+        load(450, job(440, "wk-2", withdrawn = true))
+        assertEquals(mapOf("wk-2" to job(440, "wk-2", withdrawn = true)), replica.live)
+        assertEquals(setOf("wk-1 removed", "wk-2 changed at 440"), told.toSet())
+    }
+
+    @Test
+    fun `a later page may show later changes, which the next watch does not undo`() {
+        replica.beginSnapshot().use {
+            it.page(400, mapOf("wk-1" to record(job(390))))
+            it.page(430, mapOf("wk-2" to record(job(425, "wk-2", withdrawn = true))))
+            it.complete()
+        }
+        assertEquals(400, replica.revision)
+        replica.apply(listOf(written(job(410, "wk-2"))), upTo = 415)
+        assertEquals(KnownJob.Live(job(425, "wk-2", withdrawn = true)), replica.known("wk-2"))
+    }
+
+    @Test
+    fun `a watch from long ago whose changes are lost does not unload what has been read since`() {
+        load(400)
+        replica.apply(emptyList(), upTo = 500)
+        replica.historyLost(400)
+        assertTrue(replica.loaded)
+        replica.historyLost(500)
+        assertFalse(replica.loaded)
+    }
+
+    @Test
+    fun `of a record that cannot be read, and of one that can, the newer counts`() {
+        load(400)
+        replica.apply(listOf(JobChange.Written("wk-1", JobRecord.Unreadable(410))), upTo = 410)
+        assertEquals(KnownJob.Unreadable, replica.known("wk-1"))
+        replica.apply(listOf(written(job(420))), upTo = 420)
+        assertEquals(KnownJob.Live(job(420)), replica.known("wk-1"))
+        replica.ended("wk-1", done)
+        assertEquals(KnownJob.Ended(done), replica.known("wk-1"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mintfield/standin/TestJobs.kt
@@ -0,0 +1,14 @@
+package mintfield.standin
+
+/** Jobs as users submit them. */
+object TestJobs {
+    fun json(
+        id: String,
+        tasks: Int,
+        shape: String = "sweep",
+        team: String = "floor",
+        cpus: Double = 1.0,
+    ) = """{"id":"$id","bench":"c","crew":"$team","shape":"$shape","urgency":"high","pieces":$tasks,"vcpus":$cpus,"cards":0,"memoryGb":1,
+        "seedbag":"i","sizeGb":1,"breeds":null,"field":null,"samePlace":false,"spread":false,"gleaning":false,"growS":3,"harvestS":0,
+        "baleS":0,"dueS":null}"""
+}
--- /dev/null
+++ b/src/test/kotlin/mintfield/standin/UserHistoryTest.kt
@@ -0,0 +1,249 @@
+package mintfield.standin
+
+import mintfield.core.model.Stage
+import mintfield.history.Answer
+import mintfield.history.HistoryChecker
+import mintfield.history.Violation
+import mintfield.io.http.HttpMessage
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import java.util.concurrent.CompletableFuture
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+/** What users are told by several nodes, judged as one history: no answer is older than its request, and final states stay. */
+class UserHistoryTest {
+    private val cluster = TestCluster()
+    private val users = RecordedUsers(cluster.standIns)
+    private val withdrawn = Answer.Told(Stage.WITHDRAWN)
+    private val pending = Answer.Told(Stage.PENDING)
+    private val running = Answer.Told(Stage.RUNNING)
+
+    @BeforeEach
+    fun start() = cluster.start(machines = 3)
+
+    @AfterEach
+    fun stop() = cluster.stop()
+
+    private fun violations(): List<Violation> = HistoryChecker().check(users.history)
+
+    /** Whether a request is the transaction by which a node accepts or cancels [job]. */
+    private fun writes(job: String): (HttpMessage) -> Boolean = { it.second == "/txn" && "\"write\":\"mf/j/l/$job\"" in String(it.body) }
+
+    /** Whether a request asks what has changed in the jobs up to now. */
+    private fun checksJobs(request: HttpMessage) = request.second.startsWith("/watch?starts=mf/j/") && request.second.endsWith("waitMs=0")
+
+    /** Long enough for a request that was sent to have reached its node. */
+    private fun untilItArrived() = Thread.sleep(ARRIVAL_MS)
+
+    @Test
+    fun `a repeated submission is not answered by one under way that was carried out before a cancellation`() {
+        // went_back: a node that waited for the store's answer to a submission let a repeat share it, and called a job
+        // pending that had been confirmed as withdrawn before the repeat was sent.
+        val (here, slow) = cluster.startSiblings("plot-0", "plot-1")
+        val job = "wk-000301"
+        val acceptance = cluster.faults.hold(slow.member, writes(job))
+        val first = users.submit(slow, job)
+        acceptance.awaitCarriedOut()
+        assertTrue(users.submit(here, job).get() in listOf(pending, running), "the acceptance shows at the other node")
+        assertEquals(withdrawn, users.abort(here, job).get())
+        val repeat = users.submit(slow, job)
+        untilItArrived()
+        acceptance.release()
+        first.get()
+        assertEquals(withdrawn, repeat.get())
+        assertEquals(emptyList<Violation>(), violations())
+    }
+
+    @Test
+    fun `a repeated submission is not answered by a reading of the jobs from before a cancellation`() {
+        // The same, without a submission that is accepted: the one under way had read the jobs before the cancellation.
+        val (here, slow) = cluster.startSiblings("plot-0", "plot-1")
+        val job = "wk-000302"
+        assertEquals(Answer.Created, users.submit(here, job).get())
+        val check = cluster.faults.hold(slow.member, ::checksJobs)
+        val first = users.submit(slow, job)
+        check.awaitCarriedOut()
+        assertEquals(withdrawn, users.abort(here, job).get())
+        val repeat = users.submit(slow, job)
+        untilItArrived()
+        check.release()
+        first.get()
+        assertEquals(withdrawn, repeat.get())
+        assertEquals(emptyList<Violation>(), violations())
+    }
+
+    @Test
+    fun `a node that has learned of a cancellation while a submission was under way tells it`() {
+        val (here, slow) = cluster.startSiblings("plot-0", "plot-1")
+        val job = "wk-000303"
+        val acceptance = cluster.faults.hold(slow.member, writes(job))
+        val first = users.submit(slow, job)
+        acceptance.awaitCarriedOut()
+        assertTrue(users.submit(here, job).get() in listOf(pending, running), "the acceptance shows at the other node")
+        assertEquals(withdrawn, users.abort(here, job).get())
+        assertEquals(withdrawn, users.poll(slow, job).get())
+        acceptance.release()
+        assertEquals(withdrawn, first.get())
+    }
+
+    @Test
+    fun `a final state in the store counts before a record of the job that cannot be read`() {
+        val node = cluster.startNode("plot-0")
+        cluster.standIns.store.plant("mf/j/f/wk-000304", """{"stage":"done","tasks":3}""")
+        cluster.standIns.store.plant("mf/j/l/wk-000304", """{"spec":7}""")
+        // The watch that brings both keys also fills the cache of final states; a node started later has only the store.
+        val later = cluster.startNode("plot-1")
+        for (asked in listOf(node, later)) assertEquals(Answer.Told(Stage.DONE), users.poll(asked, "wk-000304").get())
+    }
+
+    @Test
+    fun `a job whose final state cannot be read is known, and neither done nor withdrawn`() {
+        cluster.standIns.store.plant("mf/j/f/wk-000305", """{"stage":"over"}""")
+        cluster.standIns.store.plant("mf/j/f/wk-000306", "[]")
+        val node = cluster.startNode("plot-0")
+        cluster.standIns.store.plant("mf/j/f/wk-000307", """{"tasks":1}""")
+        for (job in listOf("wk-000305", "wk-000306", "wk-000307")) {
+            assertEquals(pending, users.poll(node, job).get())
+            assertEquals(pending, users.submit(node, job).get())
+            assertEquals(Answer.None, users.abort(node, job).get(), "it cannot be cancelled, nor called so")
+        }
+    }
+
+    @Test
+    fun `a node that stood still goes on with no older answers`() {
+        val (here, frozen) = cluster.startSiblings("plot-0", "plot-1")
+        for ((index, stillMs) in listOf(300L, 1_200L, 2_500L).withIndex()) {
+            val job = "wk-00031$index"
+            val acceptance = cluster.faults.hold(frozen.member, writes(job))
+            val first = users.submit(frozen, job)
+            acceptance.awaitCarriedOut()
+            frozen.standStill(stillMs)
+            acceptance.release()
+            assertTrue(users.submit(here, job).get() in listOf(pending, running), "$job is known")
+            assertEquals(withdrawn, users.abort(here, job).get())
+            val repeats = List(3) { users.submit(frozen, job) } + List(3) { users.poll(frozen, job) }
+            (repeats + first).forEach { it.get() }
+            assertTrue(repeats.all { it.get() == withdrawn }, "$job: ${repeats.map { it.get() }}")
+        }
+        assertEquals(emptyList<Violation>(), violations())
+    }
+
+    @Test
+    fun `a request that a sibling answers too late is answered by no older state`() {
+        val (here, refused) = cluster.startSiblings("plot-0", "plot-1")
+        val job = "wk-000320"
+        // Refused by the store, a node passes users' requests to its sibling; after 0.9 s without an answer it serves them itself.
+        cluster.faults.choose = { client, _ -> if (client == refused.member) StateFault.Refused(503) else null }
+        val acceptance = cluster.faults.hold(here.member, writes(job))
+        await("the sibling takes its requests") { users.submit(refused, job).also { untilItArrived() }.let { acceptance.hasCome } }
+        val others = List(3) { users.submit(refused, job) }
+        untilItArrived()
+        acceptance.release()
+        others.forEach { it.get() }
+        assertEquals(withdrawn, users.abort(here, job).get())
+        cluster.faults.choose = { _, _ -> null }
+        val after = List(4) { users.submit(refused, job) } + users.poll(refused, job) + users.submit(here, job)
+        after.forEach { it.get() }
+        assertTrue(after.any { it.get() == withdrawn })
+        assertEquals(emptyList<Violation>(), violations())
+    }
+
+    /**
+     * A random mix: users that submit, repeat, ask and abort at all nodes at once and after one another, while the state service
+     * is slow, silent, late, refuses one node or all, and nodes stand still, end and come back. Three seeds, one run each; the threads' order is not part of the seed.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `whatever troubles meet, no user gets an older answer`(seed: Long) {
+        val random = Random(seed)
+        var nodes = cluster.startSiblings("plot-0", "plot-1", "plot-2")
+        cluster.faults.choose = FaultyStateService.mix(Random(seed), share = 0.25)
+        val traffic =
+            List(USERS) { user ->
+                val ownRandom = Random(seed * 1_000 + user)
+                thread(name = "user-$user") {
+                    repeat(JOBS_EACH) { useJob("wk-%06d".format(seed * 1_000 + user * JOBS_EACH + it), ownRandom) { nodes } }
+                }
+            }
+        repeat(TROUBLES) {
+            Thread.sleep(random.nextLong(400, 1_200))
+            val victim = nodes.random(random)
+            when (random.nextInt(3)) {
+                0 -> victim.standStill(random.nextLong(200, 3_000))
+                1 -> nodes = nodes.map { if (it === victim) cluster.restart(victim) else it }
+                else -> refuse(victim, random.nextLong(500, 2_000), seed + it)
+            }
+        }
+        traffic.forEach { it.join() }
+        cluster.faults.choose = { _, _ -> null }
+        nodes.forEach { cluster.awaitReady(it) }
+        for (job in users.history.map { it.job }.distinct()) nodes.forEach { users.poll(it, job).get() }
+        assertEquals(emptyList<Violation>(), violations())
+        val told = users.history.filter { it.answer is Answer.Told || it.answer == Answer.Created }
+        assertTrue(told.size > users.history.size / 4, "only ${told.size} of ${users.history.size} requests were told a state")
+        val cancelled = told.filter { it.answer == withdrawn }.map { it.job }.distinct()
+        assertTrue(cancelled.size > USERS, "only ${cancelled.size} jobs were cancelled")
+    }
+
+    private fun refuse(
+        victim: TestNode,
+        forMs: Long,
+        seed: Long,
+    ) {
+        val before = FaultyStateService.mix(Random(seed), share = 0.25)
+        cluster.faults.choose = { client, request -> if (client == victim.member) StateFault.Refused(503) else before(client, request) }
+        Thread.sleep(forMs)
+        cluster.faults.choose = before
+    }
+
+    /** The life of one job: it is submitted again and again, at any node, while another user cancels it or it ends. */
+    private fun useJob(
+        job: String,
+        random: Random,
+        nodes: () -> List<TestNode>,
+    ) {
+        val shape = if (random.nextBoolean()) "standing" else "sweep"
+        val sent = ArrayList<CompletableFuture<Answer>>()
+        val cancelRandom = Random(random.nextLong())
+        val canceller =
+            thread(name = "${Thread.currentThread().name}-cancels") {
+                Thread.sleep(cancelRandom.nextLong(1, MOST_BEFORE_CANCELLATION_MS))
+                cancel(job, cancelRandom, nodes)
+            }
+        var left = REPEATS_AFTER
+        while (left > 0) {
+            if (!canceller.isAlive) left--
+            sent += if (random.nextInt(4) == 0) users.poll(nodes().random(random), job) else users.submit(nodes().random(random), job, shape = shape)
+            Thread.sleep(random.nextLong(1, 40))
+        }
+        sent.forEach { it.get() }
+    }
+
+    /** Asks one node after the other until one says how the job has ended. */
+    private fun cancel(
+        job: String,
+        random: Random,
+        nodes: () -> List<TestNode>,
+    ) {
+        repeat(CANCEL_TRIES) {
+            if (users.abort(nodes().random(random), job).get() is Answer.Told) return
+            Thread.sleep(random.nextLong(1, 30))
+        }
+    }
+
+    private companion object {
+        const val ARRIVAL_MS = 150L
+        const val USERS = 6
+        const val JOBS_EACH = 4
+        const val MOST_BEFORE_CANCELLATION_MS = 500L
+        const val REPEATS_AFTER = 6
+        const val CANCEL_TRIES = 20
+        const val TROUBLES = 8
+    }
+}
