--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -243,7 +243,7 @@
         when (val r = store.get(Keys.LEADER, urgent = true)) {
             is StoreResult.Ok -> {
                 val e = r.value
-                if (e == null || e.data["nonce"] != nonce) return deposed("another leader has come")
+                if (e == null || e.data["nonce"] != nonce || e.lease != lease) return deposed("another leader has come")
                 scheduler.raised(e.mark, loop.nowMs())
             }
 
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -97,7 +97,7 @@
             when (val r = store.watch(Keys.LEADER, after, Tuning.LEADER_WATCH_MS, urgent = true)) {
                 is StoreResult.Ok -> {
                     if (r.value.tooOld) return
-                    val last = r.value.log.lastOrNull()
+                    val last = r.value.newest()
                     after = maxOf(after, r.value.revision)
                     if (last != null && last.data == null) return leadership.moveTo(Role.CANDIDATE, null)
                     if (last != null) leadership.moveTo(Role.FOLLOWING, last.data?.get("member") as? String)
@@ -121,7 +121,7 @@
         val term =
             when {
                 r is StoreResult.Ok && r.value is TxnOutcome.Applied -> (r.value as TxnOutcome.Applied).revision
-                r is StoreResult.Unknown -> ownTerm()
+                r is StoreResult.Unknown -> termOf(lease)
                 else -> null
             }
         if (term == null) {
@@ -131,10 +131,14 @@
         lead(term, lease, LeaseClock(leaseMs, sentAt))
     }
 
-    /** After a try without an answer: the revision of our key, if it is there. */
-    private suspend fun ownTerm(): Long? {
+    /**
+     * After a try without an answer: the revision of our key, if it hangs on [lease]. A key of ours on another lease was put by an
+     * earlier try that was carried out late: nobody renews that one, so leading by it would go on after its end, beside the next
+     * leader.
+     */
+    private suspend fun termOf(lease: Long): Long? {
         val entry = (store.get(Keys.LEADER, urgent = true) as? StoreResult.Ok)?.value
-        return entry?.takeIf { it.data["nonce"] == nonce }?.mark
+        return entry?.takeIf { it.data["nonce"] == nonce && it.lease == lease }?.mark
     }
 
     private fun lead(
--- a/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
+++ b/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
@@ -63,6 +63,9 @@
         done.await()
     }
 
+    /** The lease that [key] hangs on, or null. To be called on the loop. */
+    fun leaseOf(key: String): Long? = items[key]?.lease
+
     /** Answers one request. */
     suspend fun handle(r: HttpMessage): Response {
         expire()
--- a/src/main/kotlin/mintfield/io/store/StoreClient.kt
+++ b/src/main/kotlin/mintfield/io/store/StoreClient.kt
@@ -52,7 +52,10 @@
     val log: List<Change>,
     /** The revision asked for is too old; read anew. */
     val tooOld: Boolean,
-)
+) {
+    /** The change with the highest revision: a list of changes is in no order that could be relied on. */
+    fun newest(): Change? = log.maxByOrNull { it.mark }
+}
 
 sealed interface TxnOutcome {
     data class Applied(
--- /dev/null
+++ b/src/test/kotlin/mintfield/ChangesTest.kt
@@ -0,0 +1,20 @@
+package mintfield
+
+import mintfield.io.store.Change
+import mintfield.io.store.Changes
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+class ChangesTest {
+    @Test
+    fun `the newest change is that of the highest revision, wherever it stands`() {
+        // A member that took the last of the list for the newest would stand for election beside a leader.
+        val deleted = Change("mf/leader", null, 432)
+        val written = Change("mf/leader", mapOf("member" to "plot-1"), 433)
+        for (log in listOf(listOf(deleted, written), listOf(written, deleted))) {
+            assertEquals(written, Changes(433, log, tooOld = false).newest())
+        }
+        assertNull(Changes(433, emptyList(), tooOld = false).newest())
+    }
+}
--- a/src/test/kotlin/mintfield/standin/FaultyStateService.kt
+++ b/src/test/kotlin/mintfield/standin/FaultyStateService.kt
@@ -26,6 +26,9 @@
         val delayMs: Long,
     ) : StateFault
 
+    /** Never carried out, and not answered. */
+    data object LostRequest : StateFault
+
     /** Not carried out, and answered with [status] at once. */
     data class Refused(
         val status: Int,
@@ -78,6 +81,10 @@
             null -> store.handle(request)
             is StateFault.SlowAnswer -> store.handle(request).also { delay(fault.delayMs) }
             StateFault.LostAnswer -> store.handle(request).also { delay(BEYOND_ANY_PATIENCE_MS) }
+            StateFault.LostRequest -> {
+                delay(BEYOND_ANY_PATIENCE_MS)
+                Response.error(UNAVAILABLE, "lost")
+            }
             is StateFault.CarriedOutLate -> {
                 delay(fault.delayMs)
                 store.handle(request)
--- a/src/test/kotlin/mintfield/standin/TestCluster.kt
+++ b/src/test/kotlin/mintfield/standin/TestCluster.kt
@@ -30,6 +30,11 @@
 
     fun start(machines: Int) = standIns.start(machines)
 
+    fun start(
+        machines: Int,
+        taskMs: Long,
+    ) = standIns.start(machines, taskMs)
+
     fun stop() {
         nodes.forEach { it.stop() }
         standIns.loop.stop()
