--- a/src/test/kotlin/mintfield/JobReplicaTest.kt
+++ b/src/test/kotlin/mintfield/JobReplicaTest.kt
@@ -1,5 +1,6 @@
 package mintfield
 
+import mintfield.core.Tuning
 import mintfield.core.jobs.JobChange
 import mintfield.core.jobs.JobListener
 import mintfield.core.jobs.JobRecord
@@ -146,4 +147,14 @@
         replica.ended("wk-1", done)
         assertEquals(KnownJob.Ended(done), replica.known("wk-1"))
     }
+
+    @Test
+    fun `a job whose final state has been dropped from the cache is not pending again`() {
+        load(400)
+        replica.apply(listOf(JobChange.Ended("wk-1", 410, FinalState(Stage.WITHDRAWN, 0)), written(job(410, withdrawn = true))), upTo = 410)
+        repeat(Tuning.MAX_CACHED_FINALS) { replica.ended("wk-other-$it", done) }
+        assertEquals(KnownJob.Live(job(410, withdrawn = true)), replica.known("wk-1"))
+        replica.apply(listOf(JobChange.Removed("wk-1", 420)), upTo = 420)
+        assertEquals(null, replica.known("wk-1"), "only the state service knows it now, and is asked")
+    }
 }
