--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -270,7 +270,7 @@
 
     private fun sendDirect() {
         if (!mayAct()) return
-        for (call in scheduler.directCalls(loop.nowMs(), Tuning.MAX_DIRECT_CALLS - directCalls)) {
+        for (call in scheduler.directCalls(loop.nowMs(), scheduler.cluster.bounds.directCalls - directCalls)) {
             directCalls++
             scope.launch {
                 try {
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import mintfield.core.FleetRoom
 import mintfield.core.ReportAnswer
+import mintfield.core.SocketBounds
 import mintfield.core.Timings
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationHorizon
@@ -39,7 +41,7 @@
     private val view =
         JobView(outside.store, scope, checkGapMs, loop::nowMs) { fittingTypes(it.spec, outside.types.values) }
     private val horizon = CancellationHorizon(settings.siblings.map { it.member })
-    private val cancellations = CancellationLog(Random.nextLong())
+    private val cancellations = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
     private val member = Member(loop, scope, outside, view, horizon) { peers.announce() }
     private val changes =
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
@@ -48,13 +50,15 @@
     private val rounds = IsolatedLeaderProbe(Timings(settings).sendOnMs)
     private val siblingRedirects = SiblingRedirects()
     private val parking = SilentSiblingRelay(settings.siblings.map { it.member } + settings.member, settings.member)
-    private val reader = WorkerCodec.Reader(settings.maxSockets)
-    private val incoming = (settings.maxSockets * Tuning.INCOMING_SOCKET_SHARE).toInt()
+    private val reader = WorkerCodec.Reader(maxOf(settings.maxSockets, settings.operator.fleetMachines ?: 0))
+    private val bounds = SocketBounds(settings)
+    private val clientServer = HttpServer(loop, scope, group, bounds.incoming, ::client)
 
     fun run() {
+        FleetRoom(settings).shortcomings(Runtime.getRuntime().maxMemory()).forEach(Log::info)
         loop.start()
         loop.post {
-            HttpServer(loop, scope, group, Tuning.PEER_CONNECTIONS, peers::receive).start(parseAddress(settings.internalAddress)!!)
+            HttpServer(loop, scope, group, bounds.fromSiblings, peers::receive).start(parseAddress(settings.internalAddress)!!)
             outside.store.onContact = peers::storeContact
             view.onComplete = horizon::viewed
             changes.onCrowded = { member.leader?.giveWay() }
@@ -84,7 +88,7 @@
     private suspend fun serveClients() {
         val until = loop.nowMs() + Tuning.LISTEN_WITHOUT_LEADER_MS
         while (member.known == null && loop.nowMs() < until) delay(Tuning.LISTEN_STEP_MS)
-        HttpServer(loop, scope, group, incoming, ::client).start(parseAddress(settings.clientListen)!!)
+        clientServer.start(parseAddress(settings.clientListen)!!)
         Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
     }
 
@@ -127,13 +131,17 @@
     private suspend fun client(request: HttpMessage): Response {
         val path = request.second
         return when {
-            path == "/checkin" -> only("POST", request) { checkin(request) }
+            path == "/checkin" -> only("POST", request) { shortWhenCrowded(checkin(request)) }
             path == "/ready" -> only("GET", request) { ready() }
             path.startsWith("/v1/jobs") -> peers.relayUser(request) ?: user(request)
             else -> Response.error(404, "no such path")
         }
     }
 
+    /** With few sockets left a worker's connection is closed after its answer, so that there is room for the next worker. */
+    private fun shortWhenCrowded(response: Response): Response =
+        if (clientServer.connectionCount >= bounds.shortConnectionsFrom) response.closing() else response
+
     private suspend fun user(request: HttpMessage): Response {
         val path = request.second
         return when {
--- a/src/main/kotlin/mintfield/app/Outside.kt
+++ b/src/main/kotlin/mintfield/app/Outside.kt
@@ -1,5 +1,6 @@
 package mintfield.app
 
+import mintfield.core.SocketBounds
 import mintfield.core.Tuning
 import mintfield.core.model.MachineType
 import mintfield.core.model.Settings
@@ -31,7 +32,7 @@
         )
     val metrics = Metrics()
     val types = LinkedHashMap<String, MachineType>()
-    private val maxWorkers = (settings.maxSockets * Tuning.WORKER_SOCKET_SHARE).toInt()
+    private val maxWorkers = SocketBounds(settings).keptToWorkers
     private val workers = LinkedHashMap<String, HttpClient>(16, 0.75f, true)
 
     suspend fun readTypes() {
--- a/src/main/kotlin/mintfield/app/Replay.kt
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -42,7 +42,7 @@
         val intents = readAll(Keys.INTENTS)
         val rounds = readAll(Keys.ROUNDS).sortedBy { it.mark }
         readMachines()
-        val hints = (store.get(Keys.HINTS, urgent = true) as? StoreResult.Ok)?.value?.let { Records.parseHints(it.data) }
+        val hints = readAll(Keys.HINTS).map { Records.parseHints(it.data) }
         // Abort and accept of other nodes may have come meanwhile; from here on the listener tells them.
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         val now = loop.nowMs()
@@ -59,7 +59,7 @@
                 }
             scheduler.replayRound(r.key.removePrefix(Keys.ROUNDS), record, r.mark, now, keep)
         }
-        hints?.let { scheduler.recall(it) }
+        hints.forEach { scheduler.recall(it) }
         scheduler.replayDone(now)
         Log.info(
             "replayed ${view.live.size} jobs, ${rounds.size} rounds, ${intents.size} intents, " +
--- a/src/main/kotlin/mintfield/app/StoreWrites.kt
+++ b/src/main/kotlin/mintfield/app/StoreWrites.kt
@@ -27,7 +27,7 @@
                 )
             is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
             is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
-            is Write.Remember -> listOf(KeyWrite.Put(Keys.HINTS, Records.hints(w.hints, (valueKb * 1000).toInt())))
+            is Write.Remember -> listOf(KeyWrite.Put(Keys.hints(w.block), Records.hints(w.hints, (valueKb * 1000).toInt())))
             is Write.Disown -> listOf(KeyWrite.Put(Keys.DISOWNED + w.record.key, Records.disowned(w.record)))
             is Write.Own -> listOf(KeyWrite.Delete(Keys.DISOWNED + w.key))
             is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
--- a/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
+++ b/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
@@ -163,7 +163,10 @@
         val after = query.getValue("after").toLong()
         val prefix = query.getValue("starts")
 
-        fun news() = log.filter { it.mark > after && it.key.startsWith(prefix) }
+        fun news(): List<Logged> {
+            val found = log.binarySearch { if (it.mark <= after) -1 else 1 }
+            return log.subList(-found - 1, log.size).filter { it.key.startsWith(prefix) }
+        }
         withTimeoutOrNull(query.getValue("waitMs").toLong()) {
             while (news().isEmpty()) withTimeoutOrNull(LEASE_CHECK_MS) { changed.await() } ?: expire()
         }
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -1,6 +1,7 @@
 package mintfield.core
 
 import mintfield.core.fleet.Machine
+import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
@@ -23,6 +24,7 @@
     }
 
     val timings = Timings(settings)
+    val bounds = SocketBounds(settings)
     var term = firstTerm
     val runTimes = RunTimes()
     val types = LinkedHashMap<String, MachineType>()
@@ -74,6 +76,12 @@
         each: Double,
     ): Int = maxOf(0, Math.floor((free + 1e-6) / each).toInt())
 
+    /** Tasks that one round may place: a large fleet must not be filled at the pace of a small one. */
+    fun roundTasks(): Int {
+        val cpus = machines.values.sumOf { if (it.state == MachineState.UP) it.type.cpus else 0.0 }
+        return maxOf(Tuning.ROUND_TASKS, (cpus * Tuning.ROUND_TASKS_PER_CPU).toInt())
+    }
+
     fun occupy(
         job: Job,
         index: Int,
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -46,7 +46,9 @@
         val plea: String,
     ) : Write
 
+    /** What the leader has learned, or one [block] of it if it takes several values. */
     data class Remember(
+        val block: Int,
         val hints: Hints,
     ) : Write
 
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/FleetRoom.kt
@@ -0,0 +1,38 @@
+package mintfield.core
+
+import mintfield.core.model.Settings
+
+/**
+ * Whether a controller's sockets and memory suffice for the fleet that its operators expect. What is short is said at the start,
+ * when something can still be done about it; how it is met is said with it.
+ */
+class FleetRoom(
+    private val settings: Settings,
+) {
+    private val bounds = SocketBounds(settings)
+
+    /** One line for each thing that is short; none if the operators have not said how large the fleet is. */
+    fun shortcomings(heapBytes: Long): List<String> {
+        val machines = settings.operator.fleetMachines ?: return emptyList()
+        return listOfNotNull(sockets(machines), memory(machines, heapBytes))
+    }
+
+    private fun sockets(machines: Int): String? {
+        val kept = bounds.machinesKept(otherConnections = 0)
+        if (machines <= kept) return null
+        return "max_sockets ${settings.maxSockets} lets $kept workers keep their connections of $machines: the others connect anew for each report"
+    }
+
+    private fun memory(
+        machines: Int,
+        heapBytes: Long,
+    ): String? {
+        val needed = Tuning.HEAP_BASE_BYTES + machines * Tuning.HEAP_BYTES_PER_MACHINE
+        if (heapBytes >= needed) return null
+        return "the heap of ${heapBytes / MIB} MB is small for $machines machines: run with -Xmx${needed / MIB + 1}m"
+    }
+
+    private companion object {
+        const val MIB = 1024L * 1024L
+    }
+}
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -63,7 +63,7 @@
     private var raiseNow = false
     private var lastRoundMs = Machine.NEVER
     private var lastReplicaRoundMs = Machine.NEVER
-    private var lastHintsMs = Machine.NEVER
+    private val hintBlocks = HintBlocks(cluster)
 
     /** Workers that were answered before the replay, and when the last of them came for the first time. */
     private val renewed = HashSet<String>()
@@ -124,17 +124,6 @@
         }
     }
 
-    private fun hints(): Hints {
-        val sizes = HashMap<String, Double>()
-        cluster.machines.values.forEach { sizes.putAll(it.cachedImages) }
-        val images =
-            cluster.machines.values
-                .filter { it.cachedImages.isNotEmpty() }
-                .associate { it.id to it.cachedImages.keys.toList() }
-        val doubted = cluster.troubled.filter { it.belief == Belief.DOUBTED }.associate { it.id to it.trials }
-        return Hints(sizes, images, cluster.runTimes.ratios.toMap(), doubted)
-    }
-
     fun replayDone(nowMs: Long) {
         loaded = true
         disowning.read = true
@@ -330,10 +319,11 @@
                 left--
             }
         }
-        if (left > 0 && nowMs - lastHintsMs >= Tuning.HINTS_MS) {
-            lastHintsMs = nowMs
-            writes.add(Write.Remember(hints()))
-            left--
+        if (left > 0) {
+            hintBlocks.due(nowMs)?.let {
+                writes.add(it)
+                left--
+            }
         }
         ledger.leftOver.take(maxOf(0, left - SWEEP_RESERVE)).mapTo(writes) { Write.SweepRound(it) }
         return if (writes.isEmpty()) null else Commit(cluster.term, writes)
@@ -345,17 +335,18 @@
         wallMs: Long,
         scarce: Boolean,
     ) {
+        val most = cluster.roundTasks()
         if (nowMs - lastRoundMs >= if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
             lastRoundMs = nowMs
             lastReplicaRoundMs = nowMs
             reports.blame.look(nowMs)
-            round.run(nowMs, wallMs, Tuning.ROUND_TASKS)
+            round.run(nowMs, wallMs, most)
             return
         }
         if (nowMs - lastReplicaRoundMs < Tuning.ROUND_MS) return
         if (cluster.jobs.values.none { it.spec.shape == Shape.SERVICE && !it.withdrawn && nowMs >= it.notBeforeMs && it.askable > 0 }) return
         // What finds no room now will hardly find any before the next round of all.
-        lastReplicaRoundMs = if (round.run(nowMs, wallMs, Tuning.ROUND_TASKS, replicasOnly = true) > 0) nowMs else nowMs + Tuning.ARRAY_ROUND_MS
+        lastReplicaRoundMs = if (round.run(nowMs, wallMs, most, replicasOnly = true) > 0) nowMs else nowMs + Tuning.ARRAY_ROUND_MS
     }
 
     fun committed(
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -10,10 +10,12 @@
     /** Bytes. The protocol's bound on request bodies. */
     const val MAX_BODY_BYTES = 64 * 1024
 
-    /** Bytes. A page of the state service holds at most 512 KiB; watches have no bound, so allow several. */
-    const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
+    /** Bytes. A page of the state service holds at most 512 KiB. Watches have no bound: one that brings more is dropped, and what it
+     *  would have told is read by pages. Parsed, an answer takes several times its size of a heap of 100 MB. */
+    const val MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
-    /** Connections waiting to be accepted; a burst after an outage should not be refused by the kernel. */
+    /** Connections waiting to be accepted, at the least; more where more are served. A burst after an outage should not be refused
+     *  by the kernel. */
     const val ACCEPT_BACKLOG = 1_024
 
     /** Connections taken in a row, ahead of other events. A controller that takes over is tried by all workers within a second. */
@@ -43,6 +45,18 @@
     /** Share of `max_sockets` given to connections that come in; the rest stays free for those going out. */
     const val INCOMING_SOCKET_SHARE = 0.7
 
+    /** Share of those connections from which on workers' connections are closed after each answer. A worker that finds no room tries
+     *  the next controller a second later, and its lease may end; one that connects anew for each report needs a socket for
+     *  milliseconds only. */
+    const val SHORT_CONNECTIONS_SHARE = 0.8
+
+    // --- Memory ---
+
+    /** Bytes of heap that a leader takes whatever its fleet, and for each machine with the tasks that it holds and the jobs that these
+     *  belong to; by `FleetSize`, see docs/fleet-size.md. */
+    const val HEAP_BASE_BYTES = 40L * 1024 * 1024
+    const val HEAP_BYTES_PER_MACHINE = 30L * 1024
+
     // --- Leadership ---
 
     /** Milliseconds that the leader key lives without renewal. Workers' leases last 10 s in both deployments, so a
@@ -117,8 +131,10 @@
     /** Final states kept in memory; others are read from the store when asked for. */
     const val MAX_CACHED_FINALS = 10_000
 
-    /** Milliseconds between writings of what the leader has learned. */
+    /** Milliseconds between writings of what the leader has learned; while it takes several values, in which each of them is written
+     *  once, but no more often than the second. */
     const val HINTS_MS = 10_000L
+    const val HINTS_LEAST_MS = 1_000L
 
     /** Entries asked for in one page of a listing. */
     const val PAGE = 500
@@ -173,8 +189,8 @@
 
     /** Direct commands under way at once, at the least, and as a share of the sockets: each needs one, and when dozens of
      *  machines hang each holds its place until it times out. */
-    const val MAX_DIRECT_CALLS = 32
-    const val DIRECT_SOCKET_SHARE = 0.08
+    const val LEAST_DIRECT_CALLS = 32
+    const val DIRECT_SOCKET_SHARE = 0.02
 
     /** Share of the sockets that may rest in kept connections to workers, so that a command need not open one. */
     const val WORKER_SOCKET_SHARE = 0.12
@@ -216,8 +232,10 @@
     /** The same while writes are scarce. */
     const val ARRAY_ROUND_BUSY_MS = 500L
 
-    /** Tasks placed in one round at most, so that one round's work and write stay bounded. */
+    /** Tasks placed in one round at most, so that one round's work and write stay bounded: at the least, and for each CPU of the
+     *  machines that report. Four rounds a second then fill every CPU with a task of its own within 25 s. */
     const val ROUND_TASKS = 400
+    const val ROUND_TASKS_PER_CPU = 0.01
 
     /** Milliseconds that a done task may wait for a round to be written with. The worker keeps the result until then. */
     const val DONE_BATCH_MS = 1_500L
@@ -413,6 +431,10 @@
     /** Share of the permitted cloud calls that the leader uses. */
     const val CLOUD_SHARE = 0.8
 
+    /** Milliseconds for which the name of a returned machine is kept, lest a late report or list bring it back: reports may come
+     *  minutes late. */
+    const val GONE_KEPT_MS = 900_000L
+
     /** Machines asked for in one rental, at the least allowed and as a share of those there are: many that fall together
      *  must not be replaced by eight at a time. */
     const val RENT_AT_ONCE = 8
@@ -435,16 +457,23 @@
     /** Milliseconds between notes to the siblings. */
     const val PEER_NOTE_MS = 1_000L
 
-    /** Reports and requests on their way to one sibling at once. When workers lose the leader hundreds come to its siblings
+    /** Reports and requests on their way to one sibling at once, at the least and for each socket. When workers lose the leader hundreds come to its siblings
      *  within a second: those beyond wait their turn for some milliseconds, where each used to open a connection. */
     const val RELAY_LANES = 12
+    const val RELAY_LANES_PER_SOCKET = 0.004
 
     /** Milliseconds since its last answer for which a leader counts as answering relays: one that stands still is not recommended
      *  to workers, who would wait 4 s there. */
     const val RELAY_ANSWERED_MS = 500L
 
-    /** Connections that siblings may open here; each sibling needs its lanes and one or two for notes. */
+    /** Connections that siblings may open here, at the least; each sibling needs its lanes and one or two for notes. */
     const val PEER_CONNECTIONS = 64
+    const val PEER_SPARE_CONNECTIONS = 4
+
+    /** Jobs whose progress one note tells, which keeps it within the bound on request bodies, and milliseconds for which what a
+     *  note told counts: 10,000 jobs take five notes of a second each. */
+    const val PROGRESS_PER_NOTE = 2_000
+    const val PROGRESS_KEPT_MS = 30_000L
 
     /** Milliseconds to wait for a sibling. */
     const val PEER_TIMEOUT_MS = 900L
@@ -484,12 +513,14 @@
      *  workers: timers and answers are late, and workers end their leases a little late. */
     const val RENEWAL_MARGIN_MS = 2_000L
 
-    /** Jobs that users were last told are cancelled, kept for siblings that lead: a thousand a minute for several times
-     *  `cancel_s`. A sibling that reads once a second misses none. */
+    /** Jobs that users were last told are cancelled, kept for siblings that lead, at the least; and as many times `cancel_s` of all
+     *  changes that the state service permits. A sibling that reads once a second misses none. */
     const val CANCELLATIONS_KEPT = 4_000
+    const val CANCELLATIONS_KEPT_TIMES = 3.0
 
-    /** Entries of that log in one answer, which stays small; the rest comes with the next. */
+    /** Entries of that log in one answer, at the least; and as many seconds of permitted changes. The rest comes with the next. */
     const val CANCELLATIONS_AT_ONCE = 1_000
+    const val CANCELLATIONS_AT_ONCE_S = 2.0
 
     /** Leases between two times that such a leader sends the same worker away. */
     const val SEND_ON_LEASES = 2.0
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -36,7 +36,7 @@
     val spentIntents = ArrayDeque<String>()
     private val refusedUntil = HashMap<Offer, Long>()
     private val refusalPause = HashMap<Offer, Long>()
-    private val goneIds = LinkedHashSet<String>()
+    private val gone = ReturnedMachines()
     private var pleaNumber = 0
     private var lastListMs = Machine.NEVER
     private var listAfter: String? = null
@@ -67,7 +67,7 @@
         nowMs: Long,
     ): Machine? {
         cluster.machines[id]?.let { return it }
-        if (id in goneIds) return null
+        if (id in gone) return null
         val type = cluster.types[typeName] ?: return null
         val m = Machine(id, type, zone, spot)
         m.firstSeenAtMs = nowMs
@@ -134,7 +134,7 @@
         nowMs: Long,
     ) {
         for (l in page) {
-            if (l.stage == "failed" && l.id !in goneIds) {
+            if (l.stage == "failed" && l.id !in gone) {
                 val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
                 condemn(m, nowMs, "it failed by itself")
                 continue
@@ -215,8 +215,7 @@
             refusedUntil.remove(offer)
             refusalPause.remove(offer)
             m.moveTo(MachineState.GONE, nowMs)
-            goneIds.add(id)
-            if (goneIds.size > MAX_GONE) goneIds.remove(goneIds.first())
+            gone.add(id, nowMs)
         }
     }
 
@@ -449,8 +448,6 @@
         /** Names in one call; the protocol's bound. */
         const val MAX_RETURN = 100
 
-        /** Names of returned machines that late lists must not bring back. */
-        const val MAX_GONE = 2_000
         const val MAX_HELD_MS = 3_600_000L
     }
 }
--- a/src/main/kotlin/mintfield/core/jobs/DirectCommands.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCommands.kt
@@ -36,7 +36,7 @@
             if (nowMs - m.checkedInAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
             if (m.hearing.state == ReachabilityState.DEAF) {
                 // Each may take its whole time-out; those that have something to start must not wait behind them.
-                if (++probes <= PROBES_AT_ONCE && most > Tuning.MAX_DIRECT_CALLS / 2) probe(m, nowMs)?.let { calls.add(it) }
+                if (++probes <= PROBES_AT_ONCE && most > cluster.bounds.directCalls / 2) probe(m, nowMs)?.let { calls.add(it) }
                 continue
             }
             if (m.count(AttemptState.PLANNED) == 0 || m.attempts.none { it.state == AttemptState.PLANNED && !it.job.withdrawn }) continue
--- a/src/main/kotlin/mintfield/core/leadership/CancellationLog.kt
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationLog.kt
@@ -1,6 +1,7 @@
 package mintfield.core.leadership
 
 import mintfield.core.Tuning
+import mintfield.core.model.Settings
 
 /** A stretch of a [CancellationLog]: entries from number [from] on, of [total] in all. */
 data class CancellationPage(
@@ -17,7 +18,23 @@
  */
 class CancellationLog(
     private val incarnation: Long,
+    private val size: Size = Size(Tuning.CANCELLATIONS_KEPT, Tuning.CANCELLATIONS_AT_ONCE),
 ) {
+    /** How many entries are [kept], and how many of them go into one page. */
+    data class Size(
+        val kept: Int,
+        val page: Int,
+    ) {
+        companion object {
+            /** Each cancellation is a change of the state service, so there are no more of them than it permits. */
+            fun of(settings: Settings) =
+                Size(
+                    kept = maxOf(Tuning.CANCELLATIONS_KEPT, (settings.stateWriteRps * settings.cancelS * Tuning.CANCELLATIONS_KEPT_TIMES).toInt()),
+                    page = maxOf(Tuning.CANCELLATIONS_AT_ONCE, (settings.stateWriteRps * Tuning.CANCELLATIONS_AT_ONCE_S).toInt()),
+                )
+        }
+    }
+
     private val entries = ArrayDeque<String>()
     private val kept = HashSet<String>()
     private var first = 0L
@@ -26,7 +43,7 @@
     fun telling(id: String) {
         if (!kept.add(id)) return
         entries.addLast(id)
-        if (entries.size <= Tuning.CANCELLATIONS_KEPT) return
+        if (entries.size <= size.kept) return
         kept.remove(entries.removeFirst())
         first++
     }
@@ -38,7 +55,7 @@
     ): CancellationPage {
         val total = first + entries.size
         val from = if (ofIncarnation == incarnation) next.coerceIn(first, total) else first
-        val ids = entries.subList((from - first).toInt(), entries.size).take(Tuning.CANCELLATIONS_AT_ONCE)
+        val ids = entries.subList((from - first).toInt(), entries.size).take(size.page)
         return CancellationPage(incarnation, from, ids, total)
     }
 }
--- a/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
+++ b/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
@@ -10,6 +10,8 @@
     val idleReturnMs: Long = Tuning.IDLE_RETURN_MS,
     /** Null: what follows from the workers' lease. */
     val silentReturnMs: Long? = null,
+    /** Machines that the fleet is expected to grow to; null if that is not said. */
+    val fleetMachines: Int? = null,
 )
 
 enum class LogFormat { PLAIN, JSON }
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/placement/Exhausted.kt
@@ -0,0 +1,61 @@
+package mintfield.core.placement
+
+import mintfield.core.jobs.Job
+import mintfield.core.model.Priority
+import mintfield.core.model.Shape
+
+/**
+ * Kinds of tasks for which a round has found no place left. A round only takes room, so what one task did not find no other of the
+ * same kind will: without this each of thousands of waiting jobs was tried on each of thousands of machines.
+ */
+class Exhausted {
+    /** What the choice of a machine depends on, for a job whose tasks may be placed each by itself. */
+    private data class Kind(
+        val image: String,
+        val imageGb: Double,
+        val cpus: Double,
+        val gpus: Double,
+        val memoryGb: Double,
+        val fits: Set<String>,
+        val types: List<String>?,
+        val spot: Boolean,
+        val zone: String?,
+    )
+
+    /** How far a search went that found nothing. */
+    private class Search(
+        val worstImage: Int,
+        val patienceS: Double,
+    )
+
+    private val searches = HashMap<Kind, MutableList<Search>>()
+
+    /** Whether a search for a task of [job] as far as [worstImage] and [patienceS] can be spared. */
+    fun covers(
+        job: Job,
+        worstImage: Int,
+        patienceS: Double,
+    ): Boolean {
+        if (searches.isEmpty()) return false
+        val kind = kindOf(job) ?: return false
+        return searches[kind]?.any { it.worstImage >= worstImage && it.patienceS >= patienceS } ?: false
+    }
+
+    /** A search for a task of [job] as far as [worstImage] and [patienceS] has found nothing. */
+    fun note(
+        job: Job,
+        worstImage: Int,
+        patienceS: Double,
+    ) {
+        val kind = kindOf(job) ?: return
+        searches.getOrPut(kind) { ArrayList(2) }.add(Search(worstImage, patienceS))
+    }
+
+    /** Null if the choice depends on more: on where other tasks of the job are or failed, or on what it may displace. */
+    private fun kindOf(job: Job): Kind? {
+        val spec = job.spec
+        if (spec.shape != Shape.ARRAY || spec.priority < Priority.NORMAL) return null
+        if (spec.oneZone || spec.spread || job.failedOn.isNotEmpty()) return null
+        return Kind(spec.image, spec.imageGb, spec.cpus, spec.gpus, spec.memoryGb, job.fits, spec.types, spec.spot, spec.zone)
+    }
+}
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -7,6 +7,7 @@
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
 import mintfield.core.jobs.Job
+import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 
@@ -35,13 +36,15 @@
         // While everything is full a round costs no more for much that waits than for little.
         if (roomy.none && waiting.none { it.spec.shape != Shape.ARRAY || it.spec.priority < Priority.NORMAL }) return 0
         var planned = 0
+        val search = Search(open, number, reserve, nowMs)
+        val settling = Settling(nowMs)
         val order = urgency.sorted(waiting, wallMs)
         val turns = StarvationGuard(cluster, waiting, wallMs)
         val arrayCpus = urgency.arrayCapacity()
         val images = ImageRoom(cluster, open, waiting, arrayCpus, nowMs)
         for ((job, tasks) in turns.first(arrayCpus)) {
             if (planned >= most) break
-            planned += place(job, open, roomy.forJob(job), number, reserve, nowMs, minOf(tasks, most - planned), ANYWHERE, Double.MAX_VALUE)
+            planned += place(job, search, minOf(tasks, most - planned), ImageRank.ANYWHERE, Double.MAX_VALUE) { roomy.forJob(job) }
         }
         val setAside = turns.setAside(open)
         val patient = ArrayList<Job>()
@@ -50,16 +53,14 @@
             if (planned >= most) break
             val waits = crowded && images.enough(job)
             if (waits) patient.add(job)
-            val worst = if (waits || settling(job, nowMs)) THERE else ANYWHERE
-            val candidates = turns.openTo(job, roomy.forJob(job), setAside)
-            planned += place(job, open, candidates, number, reserve, nowMs, most - planned, worst, images.patienceS(job))
+            val worst = if (waits || settling.of(job)) ImageRank.THERE else ImageRank.ANYWHERE
+            planned += place(job, search, most - planned, worst, images.patienceS(job)) { turns.openTo(job, roomy.forJob(job), setAside) }
         }
         // Room that nobody with the image wanted is worth a fetch.
         for (job in patient) {
             if (planned >= most) break
-            if (job.waitingCount > 0 && !settling(job, nowMs)) {
-                val candidates = turns.openTo(job, roomy.forJob(job), setAside)
-                planned += place(job, open, candidates, number, reserve, nowMs, most - planned, ANYWHERE, images.patienceS(job))
+            if (job.waitingCount > 0 && !settling.of(job)) {
+                planned += place(job, search, most - planned, ImageRank.ANYWHERE, images.patienceS(job)) { turns.openTo(job, roomy.forJob(job), setAside) }
             }
         }
         return planned
@@ -69,44 +70,72 @@
      * Just after a take-over most machines have not reported yet. A task placed on the first that has would often fetch its
      * image for half a minute, though one that has the image reports within a second or two.
      */
-    private fun settling(
-        job: Job,
+    private inner class Settling(
         nowMs: Long,
-    ) = nowMs - cluster.replayedAtMs < cluster.timings.settleMs &&
-        cluster.machines.values.any { unproven(it) && it.hasImage(job.spec.image) && (!it.spot || job.spec.spot) }
+    ) {
+        private val lasts = nowMs - cluster.replayedAtMs < cluster.timings.settleMs
+        private val awaited = HashMap<Pair<String, Boolean>, Boolean>()
+
+        fun of(job: Job): Boolean {
+            if (!lasts) return false
+            val spec = job.spec
+            return awaited.getOrPut(spec.image to spec.spot) {
+                cluster.machines.values.any { unproven(it) && it.hasImage(spec.image) && (!it.spot || spec.spot) }
+            }
+        }
+    }
 
     /** Not heard of since the take-over, or only by what may be a late copy: most likely it will be fit for tasks in a moment. */
     private fun unproven(m: Machine) = m.state == MachineState.AWAITED || (m.state == MachineState.UP && m.termSeen < m.neededTerm)
 
+    /** What the searches for places of one round have in common. */
+    private class Search(
+        val open: List<Machine>,
+        val number: Long,
+        val reserve: ReplicaReserve,
+        val nowMs: Long,
+    ) {
+        val exhausted = Exhausted()
+    }
+
+    private inline fun place(
+        job: Job,
+        search: Search,
+        most: Int,
+        worst: Int,
+        patienceS: Double,
+        candidates: () -> List<Machine>,
+    ): Int {
+        val allowed = minOf(most, cluster.allowance(job.spec), job.askable)
+        if (allowed <= 0 || search.exhausted.covers(job, worst, patienceS)) return 0
+        val planned = place(job, search, candidates(), allowed, worst, patienceS)
+        if (planned < allowed) search.exhausted.note(job, worst, patienceS)
+        return planned
+    }
+
     private fun place(
         job: Job,
-        open: List<Machine>,
+        search: Search,
         candidates: List<Machine>,
-        number: Long,
-        reserve: ReplicaReserve,
-        nowMs: Long,
-        most: Int,
+        allowed: Int,
         worst: Int,
         patienceS: Double,
     ): Int {
         val spec = job.spec
-        val allowed = minOf(most, cluster.allowance(spec), job.askable)
-        if (allowed <= 0 || candidates.isEmpty()) return 0
+        val open = search.open
+        val reserve = search.reserve
+        val number = search.number
+        val nowMs = search.nowMs
+        if (candidates.isEmpty()) return 0
         // A gang goes as a whole: not before its last attempts are gone, and only if there is room for all.
         if (spec.shape == Shape.GANG && (job.activeAttempts.isNotEmpty() || allowed < job.waitingCount)) return 0
         val zones = ZoneRule(job, open)
         // A machine that failed it is tried again only if few others could hold it.
-        val avoided =
-            if (job.failedOn.size <
-                open.count { job.failedOn.isNotEmpty() && mayHold(job, it) && zones.allows(it.zone) } / 2
-            ) {
-                job.failedOn
-            } else {
-                emptySet()
-            }
+        val avoided = if (job.failedOn.isNotEmpty() && fewFailed(job, open, zones)) job.failedOn else emptySet()
         val fitting = candidates.filter { it.id !in avoided && mayHold(job, it) && zones.allows(it.zone) }
         if (spec.shape == Shape.GANG && fitting.sumOf { roomFor(spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } < job.waitingCount) return 0
-        val roomy = ranked(job, fitting.filter { it.holds(spec.cpus + reserve.margin(it, spec), spec.gpus, spec.memoryGb) })
+        val inReach = fitting.filter { reaches(it, spec, worst, patienceS) && it.holds(spec.cpus + reserve.margin(it, spec), spec.gpus, spec.memoryGb) }
+        val roomy = MachineRanking(spec, inReach)
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
@@ -115,7 +144,7 @@
             if (!tasks.hasNext()) break
             val limit = minOf(phase.worstImage, worst)
             if (phase.displacing) {
-                val places = ranked(job, fitting.filter { imageRank(it, spec.image) <= limit })
+                val places = MachineRanking(spec, fitting.filter { ImageRank.of(it, spec.image) <= limit })
                 while (tasks.hasNext()) {
                     val m = displace(job, places.filter { zones.allows(it.machine.zone) }, nowMs) ?: break
                     plan(job, tasks.next(), number, m, nowMs)
@@ -127,7 +156,7 @@
                     if (!tasks.hasNext()) break
                     if (r.image > limit) continue
                     val m = r.machine
-                    if (r.image != THERE && m.fetchS(spec.image, spec.imageGb) > patienceS) continue
+                    if (r.image != ImageRank.THERE && m.fetchS(spec.image, spec.imageGb) > patienceS) continue
                     val most = if (phase.spreading && spec.shape == Shape.SERVICE) m.type.cpus * Tuning.SPREAD_SHARE else m.type.cpus
                     while (
                         tasks.hasNext() &&
@@ -150,6 +179,23 @@
         return planned
     }
 
+    /** Whether the image is near enough to [m] for a task that goes as far as [worst] and [patienceS]. */
+    private fun reaches(
+        m: Machine,
+        spec: JobSpec,
+        worst: Int,
+        patienceS: Double,
+    ): Boolean {
+        val image = ImageRank.of(m, spec.image)
+        return image == ImageRank.THERE || (image <= worst && m.fetchS(spec.image, spec.imageGb) <= patienceS)
+    }
+
+    private fun fewFailed(
+        job: Job,
+        open: List<Machine>,
+        zones: ZoneRule,
+    ) = job.failedOn.size < open.count { mayHold(job, it) && zones.allows(it.zone) } / 2
+
     private fun mayHold(
         job: Job,
         m: Machine,
@@ -165,35 +211,6 @@
         val spreading: Boolean = false,
     )
 
-    private class Rank(
-        val machine: Machine,
-        val image: Int,
-        val fetchS: Int,
-        val kind: Int,
-    )
-
-    /**
-     * Where the image is or comes first, then spot machines for those who may use them, then the fullest. Each key is worked
-     * out once.
-     */
-    private fun ranked(
-        job: Job,
-        machines: List<Machine>,
-    ): List<Rank> =
-        machines
-            .map { Rank(it, imageRank(it, job.spec.image), it.fetchS(job.spec.image, job.spec.imageGb).toInt(), if (job.spec.spot && !it.spot) 1 else 0) }
-            .sortedWith(BEST_FIRST)
-
-    private fun imageRank(
-        m: Machine,
-        image: String,
-    ): Int =
-        when {
-            m.hasImage(image) -> THERE
-            m.awaitsImage(image) -> FETCHING
-            else -> ANYWHERE
-        }
-
     private fun plan(
         job: Job,
         index: Int,
@@ -212,7 +229,7 @@
     /** Stops work of lower priority on the machine where least is lost, if that makes room for one task of [job]. */
     private fun displace(
         job: Job,
-        fitting: List<Rank>,
+        fitting: List<RankedMachine>,
         nowMs: Long,
     ): Machine? {
         var best: List<Attempt>? = null
@@ -257,22 +274,10 @@
     }
 
     private companion object {
-        val BEST_FIRST =
-            compareBy<Rank> { it.fetchS }
-                .thenBy { it.image }
-                .thenBy { it.kind }
-                .thenBy { it.machine.freeCpus }
-                .thenBy { it.machine.id }
-
         /** Cost, in CPU seconds of lost work, of a place where the image must still be fetched. */
         const val IMAGE_COST = 30.0
 
-        /** Ranks of image: there, being fetched, to be fetched. */
-        const val THERE = 0
-        const val FETCHING = 1
-        const val ANYWHERE = 2
-
-        val PLAIN_PHASES = listOf(Phase(ANYWHERE))
+        val PLAIN_PHASES = listOf(Phase(ImageRank.ANYWHERE))
 
         /**
          * Replicas fill a machine to a share only, as long as others will do: packed on the fullest, twenty of them went with
@@ -280,14 +285,14 @@
          */
         val URGENT_PHASES =
             listOf(
-                Phase(THERE, spreading = true),
-                Phase(THERE),
-                Phase(THERE, displacing = true),
-                Phase(FETCHING, spreading = true),
-                Phase(ANYWHERE, spreading = true),
-                Phase(FETCHING),
-                Phase(ANYWHERE),
-                Phase(ANYWHERE, displacing = true),
+                Phase(ImageRank.THERE, spreading = true),
+                Phase(ImageRank.THERE),
+                Phase(ImageRank.THERE, displacing = true),
+                Phase(ImageRank.FETCHING, spreading = true),
+                Phase(ImageRank.ANYWHERE, spreading = true),
+                Phase(ImageRank.FETCHING),
+                Phase(ImageRank.ANYWHERE),
+                Phase(ImageRank.ANYWHERE, displacing = true),
             )
         val DISPLACEABLE = setOf(AttemptState.STARTING, AttemptState.PULLING, AttemptState.RUNNING)
     }
--- a/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
+++ b/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
@@ -33,7 +33,8 @@
         if (old.isEmpty()) return turns
         var room = capacity * Tuning.OLD_SHARE - old.sumOf { it.activeAttempts.size * it.spec.cpus }
         val order = compareBy<Job>({ cluster.usage(it.spec.team).cpus }, { it.acceptedAtMs.toDouble() }).thenBy { it.spec.id }
-        for (job in old.filter { it in waiting }.sortedWith(order)) {
+        val asking = waiting.toHashSet()
+        for (job in old.filter { it in asking }.sortedWith(order)) {
             val tasks = minOf(job.askable, (room / maxOf(job.spec.cpus, LEAST_CPUS)).toInt())
             if (tasks <= 0) break
             turns.add(job to tasks)
--- a/src/main/kotlin/mintfield/io/http/HttpClient.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpClient.kt
@@ -25,6 +25,8 @@
     class None(
         val sent: Boolean,
         val why: String,
+        /** An answer came that is longer than the client takes. */
+        val tooLarge: Boolean = false,
     ) : Reply
 }
 
@@ -106,7 +108,7 @@
             return Reply.None(sent, if (timedOut) "no answer in $timeoutMs ms" else e.toString())
         } catch (e: HttpFault) {
             channel?.closeQuietly()
-            return Reply.None(sent, "bad answer: ${e.message}")
+            return Reply.None(sent, "bad answer: ${e.message}", tooLarge = e.status == HttpFault.TOO_LARGE)
         } catch (e: CancellationException) {
             channel?.closeQuietly()
             throw e
--- a/src/main/kotlin/mintfield/io/http/HttpParser.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpParser.kt
@@ -18,7 +18,12 @@
 class HttpFault(
     val status: Int,
     reason: String,
-) : Exception(reason, null, false, false)
+) : Exception(reason, null, false, false) {
+    companion object {
+        /** Status for a body that is longer than its receiver takes. */
+        const val TOO_LARGE = 413
+    }
+}
 
 /**
  * Incremental HTTP/1.1 parser: fed with whatever bytes have come, it yields a message as soon as one is whole.
@@ -189,7 +194,7 @@
         val text = headers["content-length"] ?: return moveTo(State.WHOLE)
         if (text.isEmpty() || text.length > 18 || !text.all { it in '0'..'9' }) throw HttpFault(400, "bad length")
         val length = text.toLong()
-        if (length > maxBody) throw HttpFault(413, "body too large")
+        if (length > maxBody) throw HttpFault(HttpFault.TOO_LARGE, "body too large")
         body = if (length == 0L) NO_BYTES else ByteArray(length.toInt())
         need = length.toInt()
         return moveTo(if (need == 0) State.WHOLE else State.FIXED_BODY)
@@ -221,7 +226,7 @@
             trailerBytes = 0
             return moveTo(State.TRAILER)
         }
-        if (filled.toLong() + size > maxBody) throw HttpFault(413, "body too large")
+        if (filled.toLong() + size > maxBody) throw HttpFault(HttpFault.TOO_LARGE, "body too large")
         if (filled + size > body.size) body = body.copyOf(maxOf(filled + size, minOf(body.size * 2, maxBody)))
         need = size
         return moveTo(State.CHUNK_DATA)
--- a/src/main/kotlin/mintfield/io/http/HttpServer.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpServer.kt
@@ -22,6 +22,9 @@
     val allow: String? = null,
     val close: Boolean = false,
 ) {
+    /** The same answer, after which the connection is closed. */
+    fun closing() = Response(status, body, retryAfterS, allow, close = true)
+
     companion object {
         fun error(
             status: Int,
@@ -47,12 +50,15 @@
     private val connections = LinkedHashSet<Connection>()
     private lateinit var listener: AsynchronousServerSocketChannel
 
+    /** Connections that are open now. */
+    val connectionCount: Int get() = connections.size
+
     val port: Int get() = (listener.localAddress as InetSocketAddress).port
 
     fun start(address: InetSocketAddress) {
         listener = AsynchronousServerSocketChannel.open(group)
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        listener.bind(address, Tuning.ACCEPT_BACKLOG)
+        listener.bind(address, maxOf(Tuning.ACCEPT_BACKLOG, maxConnections))
         scope.launch { acceptAll() }
         scope.launch { sweep() }
     }
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -14,6 +14,7 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import mintfield.app.Outside
 import mintfield.app.Progress
+import mintfield.core.SocketBounds
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationPage
 import mintfield.core.model.Settings
@@ -37,6 +38,8 @@
     /** The process of the receiver whose log of cancellations was read last, and up to which entry. */
     @ProtoNumber(7) val readIncarnation: Long = 0,
     @ProtoNumber(8) val readNext: Long = 0,
+    /** Jobs that the leader has, if a note has no room for the progress of all of them; else 0. */
+    @ProtoNumber(9) val jobs: Int = 0,
 )
 
 /** The answer to a note: what its sender lacks of the log of cancellations that users were told of here. */
@@ -145,13 +148,15 @@
     private val startedAtMs = loop.nowMs()
     private val heard = HashMap<String, Heard>()
     private val refusedAtMs = HashMap<String, Long>()
-    private var jobs: Map<String, Progress> = emptyMap()
+    private val progressTold = HashMap<String, ProgressBoard>()
     private var silentSinceMs: Long? = null
     private var refusedSinceMs: Long? = null
 
-    private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = Tuning.RELAY_LANES + 2) }
+    private val bounds = SocketBounds(settings)
+    private val progressPages = settings.siblings.associate { it.member to ProgressPages() }
+    private val clients = settings.siblings.associate { it.member to outside.client(it.address, maxIdle = bounds.relayLanes + 2) }
     private val answeredAtMs = HashMap<String, Long>()
-    private val lanes = settings.siblings.associate { it.member to Semaphore(Tuning.RELAY_LANES) }
+    private val lanes = settings.siblings.associate { it.member to Semaphore(bounds.relayLanes) }
 
     fun start() {
         for ((sibling, client) in clients) {
@@ -185,16 +190,18 @@
     private fun note(sibling: String): PeerNote {
         val (incarnation, next) = owner.cancellationsRead(sibling)
         val term = owner.leadingTerm()
-        val progress = if (term > 0) owner.progressNote().entries.take(MAX_JOBS) else emptyList()
+        val progress = if (term > 0) owner.progressNote() else emptyMap()
+        val page = progressPages.getValue(sibling).next(progress)
         return PeerNote(
             settings.member,
             refusedSinceMs == null,
             term > 0,
-            progress.map { (id, p) -> JobProgress(id, p.done, p.running) },
+            page,
             term,
             owner.crowded(),
             incarnation,
             next,
+            if (page.size < progress.size) progress.size else 0,
         )
     }
 
@@ -264,7 +271,8 @@
         heard[note.member] = Heard(note, loop.nowMs())
         if (note.crowded) owner.siblingCrowded()
         if (note.leading) {
-            jobs = note.progress.associate { it.id to Progress(it.done, it.running) }
+            val told = progressTold.getOrPut(note.member) { ProgressBoard() }
+            told.take(note.progress, note.jobs, loop.nowMs())
             owner.siblingLeads(note.member, note.term)
         }
         val page = owner.cancellationsAfter(note.readIncarnation, note.readNext)
@@ -303,7 +311,8 @@
     /** A sibling other than [leader] that has been heard lately. */
     fun heardBesides(leader: String): String? = heard.entries.firstOrNull { it.key != leader && loop.nowMs() - it.value.atMs < Tuning.PEER_FRESH_MS }?.key
 
-    fun progress(id: String): Progress? = jobs[id]
+    /** What leading siblings last told of the progress of job [id]. */
+    fun progress(id: String): Progress? = progressTold.values.firstNotNullOfOrNull { it[id] }
 
     fun storeContact(contact: StoreClient.Contact) {
         val now = loop.nowMs()
@@ -327,8 +336,5 @@
 
     private companion object {
         val PATHS = setOf("/peer", "/relay", "/user")
-
-        /** Jobs in one note; keeps it within the bound on request bodies. */
-        const val MAX_JOBS = 2_000
     }
 }
--- a/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
@@ -26,16 +26,18 @@
         private val name: String,
     ) {
         fun settings(root: Map<String, Any?>): OperatorSettings {
-            known("", root, setOf("log", "tuning"))
+            known("", root, setOf("log", "tuning", "fleet"))
             val log = block(root, "log", setOf("format"))
             val tuning = block(root, "tuning", setOf("leader_lease_ms", "headroom", "idle_return_ms", "silent_return_ms"))
+            val fleet = block(root, "fleet", setOf("machines"))
             val defaults = OperatorSettings()
             return OperatorSettings(
                 logFormat = format(log["format"]),
-                leaderLeaseMs = number(tuning, "leader_lease_ms", 1_000.0, 600_000.0, defaults.leaderLeaseMs.toDouble()).toLong(),
-                headroom = number(tuning, "headroom", 1.0, 10.0, defaults.headroom),
-                idleReturnMs = number(tuning, "idle_return_ms", 1_000.0, 86_400_000.0, defaults.idleReturnMs.toDouble()).toLong(),
-                silentReturnMs = tuning["silent_return_ms"]?.let { number(tuning, "silent_return_ms", 12_000.0, 3_600_000.0, 0.0).toLong() },
+                leaderLeaseMs = number("tuning", tuning, "leader_lease_ms", 1_000.0, 600_000.0, defaults.leaderLeaseMs.toDouble()).toLong(),
+                headroom = number("tuning", tuning, "headroom", 1.0, 10.0, defaults.headroom),
+                idleReturnMs = number("tuning", tuning, "idle_return_ms", 1_000.0, 86_400_000.0, defaults.idleReturnMs.toDouble()).toLong(),
+                silentReturnMs = tuning["silent_return_ms"]?.let { number("tuning", tuning, "silent_return_ms", 12_000.0, 3_600_000.0, 0.0).toLong() },
+                fleetMachines = fleet["machines"]?.let { number("fleet", fleet, "machines", 1.0, 1_000_000.0, 0.0).toInt() },
             )
         }
 
@@ -69,6 +71,7 @@
             }
 
         private fun number(
+            block: String,
             map: Map<String, Any?>,
             field: String,
             least: Double,
@@ -78,7 +81,7 @@
             val value = map[field] ?: return default
             val found = (value as? Number)?.toDouble()
             if (found == null || found < least || found > most) {
-                throw SettingsFault("$name: tuning.$field: expected a number from $least to $most, found $value")
+                throw SettingsFault("$name: $block.$field: expected a number from $least to $most, found $value")
             }
             return found
         }
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -22,6 +22,9 @@
     /** What leaders have learned, for their successors. */
     const val HINTS = "mf/hints"
 
+    /** The first block of hints has the name that a fleet of one block has always used. */
+    fun hints(block: Int) = if (block == 0) HINTS else "$HINTS/$block"
+
     fun live(id: String) = LIVE + id
 
     fun final(id: String) = FINAL + id
--- a/src/main/kotlin/mintfield/io/store/StoreClient.kt
+++ b/src/main/kotlin/mintfield/io/store/StoreClient.kt
@@ -38,6 +38,8 @@
     /** No answer: executed, not executed, or to be executed later. */
     data class Unknown(
         val why: String,
+        /** An answer came, but it is longer than this program takes. */
+        val tooLarge: Boolean = false,
     ) : StoreResult<Nothing>
 }
 
@@ -50,7 +52,7 @@
 class Changes(
     val revision: Long,
     val log: List<Change>,
-    /** The revision asked for is too old; read anew. */
+    /** The revision asked for is too old, or too much has changed since; read anew. */
     val tooOld: Boolean,
 ) {
     /** The change with the highest revision: a list of changes is in no order that could be relied on. */
@@ -119,7 +121,7 @@
 
             is Reply.None -> {
                 onContact(Contact.SILENT)
-                if (reply.sent) StoreResult.Unknown(reply.why) else StoreResult.Refused(0)
+                if (reply.sent) StoreResult.Unknown(reply.why, reply.tooLarge) else StoreResult.Refused(0)
             }
         }
     }
@@ -184,7 +186,10 @@
     ): StoreResult<Changes> {
         val client = if (waitMs > 0) watches else calls
         val path = "/watch?starts=$prefix&after=$after&waitMs=$waitMs"
-        return ask("GET", path, urgent = urgent, timeoutMs = Tuning.STORE_TIMEOUT_MS + waitMs, client = client).map { a ->
+        val result = ask("GET", path, urgent = urgent, timeoutMs = Tuning.STORE_TIMEOUT_MS + waitMs, client = client)
+        // Asked again it would be as long or longer: what it tells must be read by pages.
+        if (result is StoreResult.Unknown && result.tooLarge) return StoreResult.Ok(Changes(0, emptyList(), tooOld = true))
+        return result.map { a ->
             if (a.status == 410) return@map Changes(0, emptyList(), tooOld = true)
             val log =
                 a.json["log"].asList().orEmpty().mapNotNull { item ->
--- /dev/null
+++ b/src/test/kotlin/mintfield/fleetsize/FleetSizeTest.kt
@@ -0,0 +1,185 @@
+package mintfield.fleetsize
+
+import mintfield.Fixtures
+import mintfield.app.Progress
+import mintfield.core.FleetRoom
+import mintfield.core.HintBlocks
+import mintfield.core.Hints
+import mintfield.core.Scheduler
+import mintfield.core.SocketBounds
+import mintfield.core.Tuning
+import mintfield.core.Write
+import mintfield.core.fleet.ReturnedMachines
+import mintfield.core.leadership.CancellationLog
+import mintfield.core.model.OperatorSettings
+import mintfield.core.model.Sibling
+import mintfield.io.peer.ProgressBoard
+import mintfield.io.peer.ProgressPages
+import mintfield.io.settings.OperatorFile
+import mintfield.io.settings.SettingsFault
+import mintfield.io.store.Records
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.lang.management.ManagementFactory
+
+/** Bounds that once stood below a fleet of 4,000 machines. */
+class FleetSizeTest {
+    private val machines = 4_000
+    private val settings = Fixtures.settings.copy(maxSockets = 8_000)
+
+    private fun named(number: Int) = "m-%06d".format(number)
+
+    @Test
+    fun `bounds on connections grow with the sockets and stay as they were on small controllers`() {
+        val small = SocketBounds(Fixtures.settings)
+        assertEquals(listOf(420, 32, 12, 64), listOf(small.incoming, small.directCalls, small.relayLanes, small.fromSiblings))
+        val siblings = listOf("plot-1", "plot-2").map { Sibling(it, "north", "127.0.0.1:1") }
+        val large = SocketBounds(settings.copy(siblings = siblings))
+        assertTrue(large.machinesKept(otherConnections = 400) >= machines)
+        assertTrue(large.fromSiblings >= 2 * large.relayLanes, "${large.fromSiblings} connections for 2 times ${large.relayLanes} lanes")
+    }
+
+    @Test
+    fun `too few sockets and too little heap for the expected fleet are said`() {
+        fun told(
+            sockets: Int,
+            heapMb: Long,
+            expected: Int? = machines,
+        ) = FleetRoom(settings.copy(maxSockets = sockets, operator = OperatorSettings(fleetMachines = expected))).shortcomings(heapMb shl 20)
+        assertEquals(emptyList<String>(), told(8_000, 1_000))
+        assertEquals(emptyList<String>(), told(600, 100, expected = null))
+        assertEquals(
+            listOf("max_sockets 600 lets 336 workers keep their connections of 4000: the others connect anew for each report"),
+            told(600, 1_000),
+        )
+        assertTrue(told(8_000, 60).single().startsWith("the heap of 60 MB is small for 4000 machines: run with -Xmx"))
+    }
+
+    @Test
+    fun `the expected fleet is read from the operators' file, and refused by field and reason`() {
+        assertEquals(machines, OperatorFile.parse("fleet {\n machines = 4000\n}\n", "o.hcl").fleetMachines)
+        assertNull(OperatorFile.parse("", "o.hcl").fleetMachines)
+        for ((value, found) in mapOf("0" to "0.0", "\"many\"" to "many")) {
+            val fault = assertThrows(SettingsFault::class.java) { OperatorFile.parse("fleet {\n machines = $value\n}\n", "o.hcl") }
+            assertEquals("o.hcl: fleet.machines: expected a number from 1.0 to 1000000.0, found $found", fault.message)
+        }
+    }
+
+    @Test
+    fun `a wave in which all machines are returned is remembered until late messages must have come`() {
+        val returned = ReturnedMachines()
+        repeat(machines) { returned.add(named(it), 1_000L + it) }
+        assertEquals(machines, returned.size)
+        assertTrue(named(0) in returned)
+        returned.add("m-999999", Tuning.GONE_KEPT_MS + 1_000 + machines)
+        assertFalse(named(machines - 1) in returned)
+        assertEquals(1, returned.size)
+    }
+
+    @Test
+    fun `hints of thousands of machines are packed into values that fit, and none is left out`() {
+        val images = (0 until machines).associate { i -> named(i) to (0..7).map { "img-${(i + it * 5) % 60}" } }
+        val hints = Hints(images.values.flatten().associateWith { 1.5 }, images, mapOf("slice" to 0.25), mapOf("wk-1" to 3))
+        val blocks = HintBlocks.pack(hints, maxBytes = 6_800)
+        val read =
+            blocks.map { Records.hints(it, maxBytes = 8_000) }.map { bytes ->
+                Records.parseHints(
+                    mintfield.io.json.Json
+                        .parseObject(bytes)!!,
+                )
+            }
+        assertEquals(images, read.fold(emptyMap<String, List<String>>()) { all, block -> all + block.machineImages })
+        assertTrue(
+            read.all { block ->
+                block.machineImages.values
+                    .flatten()
+                    .all { it in block.imageGb }
+            },
+        )
+        assertEquals(listOf(mapOf("wk-1" to 3)), read.map { it.doubted }.filter { it.isNotEmpty() })
+        assertEquals(mapOf("slice" to 0.25), read.first().logRatio)
+    }
+
+    @Test
+    fun `notes tell the progress of all jobs in turn, and what was told stays for a while`() {
+        val progress = (0 until 10_000).associateTo(LinkedHashMap()) { "wk-$it" to Progress(it, 1) }
+        val pages = ProgressPages()
+        val board = ProgressBoard()
+        repeat(5) { second -> board.take(pages.next(progress), progress.size, second * Tuning.PEER_NOTE_MS) }
+        assertTrue(progress.all { (id, it) -> board[id]?.done == it.done })
+        board.take(pages.next(progress), progress.size, Tuning.PROGRESS_KEPT_MS + 4_500)
+        assertNull(board["wk-9999"])
+        assertEquals(0, board["wk-0"]?.done)
+        board.take(pages.next(mapOf("wk-7" to Progress(8, 0))), 1, Tuning.PROGRESS_KEPT_MS + 5_000)
+        assertEquals(8, board["wk-7"]?.done)
+        assertNull(board["wk-0"])
+    }
+
+    @Test
+    fun `the log of cancellations keeps what the store permits to be cancelled`() {
+        val size = CancellationLog.Size.of(settings.copy(stateWriteRps = 200.0, cancelS = 40.0))
+        assertTrue(size.kept >= 200 * 40 && size.page >= 200, "$size")
+        val log = CancellationLog(1, size)
+        repeat(size.kept) { log.telling("wk-$it") }
+        assertEquals(0, log.after(1, 0).from)
+        assertEquals(size.page, log.after(1, 0).ids.size)
+        assertEquals(CancellationLog.Size(Tuning.CANCELLATIONS_KEPT, Tuning.CANCELLATIONS_AT_ONCE), CancellationLog.Size.of(Fixtures.settings))
+    }
+
+    /** On the sources before, this took 890 ms of processor time a round; the bound leaves room for a slow machine. */
+    @Test
+    fun `a round with thousands of machines and thousands of jobs that find no place costs no more than its results`() {
+        val scheduler = scheduler(machines)
+        repeat(5_000) { scheduler.jobChanged(Fixtures.accepted(Fixtures.spec("wk-$it", tasks = 16, image = "img-${it % 12}"), it + 2L), 1) }
+        var now = 2_000L
+        commit(scheduler, now)
+        val threads = ManagementFactory.getThreadMXBean()
+        val from = threads.currentThreadCpuTime
+        repeat(ROUNDS) {
+            now += 300
+            commit(scheduler, now)
+        }
+        val spentMs = (threads.currentThreadCpuTime - from) / 1_000_000
+        assertTrue(spentMs < ROUNDS * MOST_MS_A_ROUND, "$ROUNDS rounds took $spentMs ms")
+    }
+
+    @Test
+    fun `rounds widen with the fleet`() {
+        val planned = listOf(100, machines).map { count -> tasksOfFirstRound(count) }
+        assertEquals(listOf(Tuning.ROUND_TASKS, (machines * 16 * Tuning.ROUND_TASKS_PER_CPU).toInt()), planned)
+    }
+
+    private fun tasksOfFirstRound(count: Int): Int {
+        val scheduler = scheduler(count)
+        scheduler.jobChanged(Fixtures.accepted(Fixtures.spec("wk-1", tasks = 5_000), 2), 1)
+        scheduler.nextCommit(2_000, 2_000, 16)
+        return scheduler.cluster.machines.values
+            .sumOf { it.attempts.size }
+    }
+
+    private fun scheduler(count: Int): Scheduler {
+        val scheduler = Scheduler(settings, 1) { }
+        scheduler.types(listOf(Fixtures.box.copy(cpus = 16.0, memoryGb = 64.0)), 0)
+        scheduler.replayDone(0)
+        repeat(count) { scheduler.report(Fixtures.report(named(it), 1, 1, zone = if (it % 2 == 0) "north" else "south"), mayAct = true, nowMs = 1) }
+        return scheduler
+    }
+
+    private fun commit(
+        scheduler: Scheduler,
+        now: Long,
+    ) {
+        val commit = scheduler.nextCommit(now, now, 16) ?: return
+        assertTrue(commit.writes.none { it is Write.RaiseTerm })
+        scheduler.committed(commit, mintfield.core.CommitResult.Done(now), now)
+    }
+
+    private companion object {
+        const val ROUNDS = 10
+        const val MOST_MS_A_ROUND = 200L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mintfield/load/FleetLoad.kt
@@ -0,0 +1,234 @@
+package mintfield.load
+
+import mintfield.Fixtures
+import mintfield.io.store.Keys
+import mintfield.io.store.Records
+import mintfield.standin.StandIns
+import java.io.File
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** A real controller process, and what the system says of it. */
+private class ControllerProcess(
+    val member: String,
+    val clientPort: Int,
+    private val command: List<String>,
+    private val log: File,
+    /** Requests that it has sent to the state service. */
+    val requests: AtomicLong,
+) {
+    private lateinit var process: Process
+
+    fun start() {
+        process = ProcessBuilder(command).redirectError(log).also { it.environment()["LOG_LEVEL"] = "info" }.start()
+    }
+
+    fun kill() {
+        process.destroyForcibly().waitFor(KILL_S, TimeUnit.SECONDS)
+    }
+
+    /** Seconds of processor time so far. */
+    fun cpuS(): Double {
+        val fields =
+            File("/proc/${process.pid()}/stat")
+                .readText()
+                .substringAfterLast(')')
+                .trim()
+                .split(' ')
+        return (fields[USER_TICKS].toLong() + fields[SYSTEM_TICKS].toLong()) / TICKS_PER_S
+    }
+
+    /** Megabytes in memory. */
+    fun residentMb(): Long =
+        File("/proc/${process.pid()}/status")
+            .readLines()
+            .first { it.startsWith("VmRSS") }
+            .filter(Char::isDigit)
+            .toLong() / KB_PER_MB
+
+    /** Open sockets and files. */
+    fun descriptors(): Int = File("/proc/${process.pid()}/fd").list()?.size ?: 0
+
+    fun logged(text: String): Boolean = log.exists() && log.useLines { lines -> lines.any { text in it } }
+
+    private companion object {
+        const val USER_TICKS = 11
+        const val SYSTEM_TICKS = 12
+        const val TICKS_PER_S = 100.0
+        const val KB_PER_MB = 1024
+        const val KILL_S = 10L
+    }
+}
+
+/**
+ * Three real controllers over loopback with a fleet of stand-in workers: an election, a replay of 10,000 jobs, steady work, a lost leader
+ * and a moment at which all machines report at once. Run by hand, see docs/fleet-size.md.
+ */
+private class FleetLoad(
+    private val machines: Int,
+    private val maxSockets: Int,
+    heap: String,
+) {
+    private val folder = File("target/load").also { it.mkdirs() }
+    private val standIns = StandIns()
+    private val runLine = runLine(heap)
+    private val ports = List(6) { ServerSocket(0).use { it.localPort } }
+    private val controllers: List<ControllerProcess>
+
+    init {
+        standIns.reportMs = REPORT_MS
+        standIns.start(machines, TASK_MS, overMs = REPORT_MS)
+        controllers = MEMBERS.indices.map(::controller)
+    }
+
+    private fun runLine(heap: String): List<String> {
+        val line =
+            File("deploy/service.toml")
+                .readLines()
+                .first { it.startsWith("run") }
+                .substringAfter('"')
+                .substringBeforeLast('"')
+        return line.replace(Regex("-Xmx\\S+"), "-Xmx$heap").split(' ')
+    }
+
+    private fun controller(number: Int): ControllerProcess {
+        val file = File(folder, "${MEMBERS[number]}.toml")
+        val requests = AtomicLong()
+        val statePort =
+            standIns.serveState { request ->
+                requests.incrementAndGet()
+                standIns.store.handle(request)
+            }
+        file.writeText(settings(number, statePort))
+        val operator = File(folder, "fleet.hcl").also { it.writeText("fleet {\n  machines = $machines\n}\n") }
+        val command = runLine.dropLast(1) + listOf("--operator", operator.path, "--config", file.path)
+        return ControllerProcess(MEMBERS[number], ports[number * 2], command, File(folder, "${MEMBERS[number]}.log"), requests)
+    }
+
+    private fun settings(
+        number: Int,
+        statePort: Int,
+    ) = buildString {
+        appendLine("member = \"${MEMBERS[number]}\"\nzone = \"north\"")
+        appendLine("client_listen = \"127.0.0.1:${ports[number * 2]}\"\ninternal_addr = \"127.0.0.1:${ports[number * 2 + 1]}\"")
+        for (other in MEMBERS.indices.filter { it != number }) {
+            appendLine("[[siblings]]\nmember = \"${MEMBERS[other]}\"\nzone = \"north\"\naddress = \"127.0.0.1:${ports[other * 2 + 1]}\"")
+        }
+        appendLine("[outside]\ncloud = \"127.0.0.1:${standIns.cloudPort}\"\nstate = \"127.0.0.1:$statePort\"")
+        appendLine("[params]\nzones = [\"north\"]")
+        appendLine("[[params.teams]]\nname = \"floor\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0")
+        appendLine("[params.workers]\nreport_s = 1.0\nlease_s = 10.0\ncancel_s = 40.0")
+        appendLine("[params.state]\nrps = 200.0\nwrite_rps = 30.0\nvalue_kb = 32.0\ntxn_ops = 20")
+        appendLine("[params.cloud]\nrps = 5.0\nlist_lag_s = 3.0")
+        appendLine("[params.resources]\nmax_sockets = $maxSockets")
+    }
+
+    fun run() {
+        repeat(JOBS) { i ->
+            val spec = Fixtures.spec("wk-%06d".format(i), tasks = TASKS, image = "img-${i % IMAGES}")
+            standIns.store.plant(Keys.live(spec.id), String(Records.live(Fixtures.accepted(spec, 0, System.currentTimeMillis()))))
+        }
+        println("$machines machines, $JOBS jobs of $TASKS tasks, max_sockets $maxSockets")
+        val from = System.nanoTime()
+        controllers.forEach { it.start() }
+        standIns.members = controllers.associate { it.member to InetSocketAddress("127.0.0.1", it.clientPort) }
+        standIns.nodes = standIns.members.values.toList()
+        await("a leader has replayed") { controllers.any { it.logged("replayed ") } }
+        println("  started, elected and replayed after %.1f s".format(since(from)))
+        await("all workers hear a leader") { standIns.workers.all { it.sim.term > 0 } }
+        println("  all workers renewed after %.1f s".format(since(from)))
+        await("most slots are taken") { tasks() > machines * SLOTS * FULL }
+        println("  nine in ten slots taken after %.1f s".format(since(from)))
+        steady()
+        allAtOnce()
+        loseLeader()
+        println("  leases that ended: ${standIns.workers.sumOf { it.sim.season - 1 }}; tasks lost with them: ${standIns.workers.sumOf { it.sim.killed }}")
+        controllers.forEach { it.kill() }
+        standIns.loop.stop()
+    }
+
+    private fun tasks() = standIns.workers.sumOf { it.present.size }
+
+    private fun steady() {
+        val cpu = controllers.associateWith { it.cpuS() }
+        val asked = controllers.associateWith { it.requests.get() }
+        Thread.sleep(STEADY_MS)
+        for (c in controllers) {
+            val cores = (c.cpuS() - cpu.getValue(c)) / (STEADY_MS / 1000.0)
+            val requests = (c.requests.get() - asked.getValue(c)) / (STEADY_MS / 1000.0)
+            println(
+                "  ${c.member}${if (c.logged("leading with term")) " (has led)" else ""}: %.2f of a core, %d MB, %d descriptors, %.1f store requests a second"
+                    .format(cores, c.residentMb(), c.descriptors(), requests),
+            )
+        }
+        println("  tasks on machines: ${tasks()} of ${machines * SLOTS}")
+    }
+
+    /** No worker reports for half a lease, then all do. */
+    private fun allAtOnce() {
+        val seasons = standIns.workers.sumOf { it.sim.season }
+        val cpu = controllers.associateWith { it.cpuS() }
+        standIns.reportsHeld = true
+        Thread.sleep(HELD_MS)
+        standIns.reportsHeld = false
+        Thread.sleep(AFTER_HELD_MS)
+        val spent = controllers.maxOf { it.cpuS() - cpu.getValue(it) }
+        println(
+            "  all report at once after ${HELD_MS / 1000} s of silence: %d leases ended, %.1f s of processor time at the busiest in ${AFTER_HELD_MS / 1000} s"
+                .format(standIns.workers.sumOf { it.sim.season } - seasons, spent),
+        )
+    }
+
+    private fun loseLeader() {
+        val leader = controllers.first { it.logged("leading with term") }
+        val term = standIns.workers.maxOf { it.sim.term }
+        val seasons = standIns.workers.sumOf { it.sim.season }
+        val from = System.nanoTime()
+        leader.kill()
+        standIns.nodes = standIns.nodes.filter { it.port != leader.clientPort }
+        await("a worker hears the next leader") { standIns.workers.any { it.sim.term > term } }
+        println("  leader lost: first worker renewed by the next after %.1f s".format(since(from)))
+        await("another has replayed") { controllers.any { it !== leader && it.logged("replayed ") } }
+        println("  next leader has replayed after %.1f s".format(since(from)))
+        await("all workers hear the next leader") { standIns.workers.all { it.sim.term > term } }
+        println("  all workers renewed after %.1f s; leases ended: ${standIns.workers.sumOf { it.sim.season } - seasons}".format(since(from)))
+        for (c in controllers.filter { it !== leader }) println("  ${c.member}: ${c.residentMb()} MB, ${c.descriptors()} descriptors")
+    }
+
+    private fun since(from: Long) = (System.nanoTime() - from) / 1e9
+
+    private fun await(
+        what: String,
+        condition: () -> Boolean,
+    ) {
+        val until = System.nanoTime() + AWAIT_S * 1_000_000_000L
+        while (!condition()) {
+            check(System.nanoTime() < until) { "in $AWAIT_S s it did not come about that $what" }
+            Thread.sleep(AWAIT_STEP_MS)
+        }
+    }
+
+    private companion object {
+        val MEMBERS = listOf("plot-0", "plot-1", "plot-2")
+        const val JOBS = 10_000
+        const val TASKS = 8
+        const val IMAGES = 12
+        const val SLOTS = 4
+        const val FULL = 0.9
+        const val REPORT_MS = 1_000L
+        const val TASK_MS = 25_000L
+        const val STEADY_MS = 15_000L
+        const val HELD_MS = 5_000L
+        const val AFTER_HELD_MS = 5_000L
+        const val AWAIT_S = 90
+        const val AWAIT_STEP_MS = 20L
+    }
+}
+
+/** Arguments: number of machines, `max_sockets` of each controller, and its heap, such as `4000 8000 160m`. */
+fun main(args: Array<String>) {
+    FleetLoad(args[0].toInt(), args[1].toInt(), args.getOrElse(2) { "100m" }).run()
+    kotlin.system.exitProcess(0)
+}
--- /dev/null
+++ b/src/test/kotlin/mintfield/load/FleetSize.kt
@@ -0,0 +1,214 @@
+package mintfield.load
+
+import mintfield.Fixtures
+import mintfield.core.CloudCall
+import mintfield.core.Commit
+import mintfield.core.CommitResult
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.Write
+import mintfield.core.fleet.ListedMachine
+import mintfield.core.jobs.RoundRecord
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.JobSpec
+import mintfield.core.model.MachineType
+import mintfield.core.model.Report
+import mintfield.core.model.ReportedTask
+import mintfield.io.store.Records
+import mintfield.sim.SimWorker
+import java.lang.management.ManagementFactory
+
+/** Processor time that one kind of call took. */
+private class Cost {
+    var calls = 0L
+        private set
+    var nanos = 0L
+        private set
+    var longestNanos = 0L
+        private set
+
+    inline fun <T> measure(action: () -> T): T {
+        val from = THREADS.currentThreadCpuTime
+        return action().also { add(THREADS.currentThreadCpuTime - from) }
+    }
+
+    fun add(spent: Long) {
+        calls++
+        nanos += spent
+        longestNanos = maxOf(longestNanos, spent)
+    }
+
+    fun line(perSeconds: Double) =
+        "%,d calls, %.1f us each, longest %.1f ms, %.3f of a core".format(
+            calls,
+            nanos / 1e3 / maxOf(1, calls),
+            longestNanos / 1e6,
+            nanos / 1e9 / perSeconds,
+        )
+
+    private companion object {
+        val THREADS = ManagementFactory.getThreadMXBean()
+    }
+}
+
+/**
+ * The scheduling core alone with a fleet of a given size, in simulated time: what reports, rounds and a take-over cost it in processor time
+ * and memory. Run by hand, see docs/fleet-size.md.
+ */
+private class FleetSize(
+    private val machineCount: Int,
+    private val jobCount: Int,
+    private val runMs: Long,
+) {
+    private val rack = MachineType("box", CPUS.toDouble(), 0.0, 4.0 * CPUS, 50.0, 0.1, 0.2, 0.06, 25.0, listOf("north", "south"))
+    private val settings = Fixtures.settings.copy(maxSockets = machineCount * 2, teams = Fixtures.settings.teams.map { it.copy(cpusMax = 0.0) })
+    private var now = 100_000L
+    private var revision = 10L
+    private val workers = (0 until machineCount).map(::worker)
+    private val byId = workers.associateBy { it.id }
+    private val tasksTold = HashMap<String, List<ReportedTask>>()
+    private val live = LinkedHashMap<String, AcceptedJob>()
+    private val rounds = LinkedHashMap<String, Pair<Long, RoundRecord>>()
+    private var permits = 0.0
+    private var writes = 0
+    private var roundBytes = 0L
+    private var starts = 0L
+    private val reports = Cost()
+    private val commits = Cost()
+    private val direct = Cost()
+    private val ticks = Cost()
+    private lateinit var scheduler: Scheduler
+
+    private fun worker(number: Int): SimWorker {
+        val zone = if (number % 2 == 0) "north" else "south"
+        return SimWorker("m-%06d".format(number), zone, false, now, 10_000, TASK_MS, CPUS) { _, _ -> starts++ }
+            .also { it.nextReportAt = now + number * REPORT_MS / machineCount }
+    }
+
+    fun run() {
+        repeat(jobCount) { i ->
+            val spec: JobSpec = Fixtures.spec("wk-%06d".format(i), tasks = TASKS, image = "img-${i % IMAGES}")
+            live[spec.id] = Fixtures.accepted(spec, ++revision, now)
+        }
+        scheduler = elect()
+        val until = now + runMs
+        while (now < until) step()
+        val seconds = runMs / 1000.0
+        println("$machineCount machines of $CPUS CPUs, $jobCount jobs of $TASKS tasks, ${runMs / 1000} s of simulated time")
+        println(
+            "  starts $starts; writes %.1f a second, %.0f bytes each; round records kept ${rounds.size}".format(writes / seconds, roundBytes * 1.0 / writes),
+        )
+        println("  reports: ${reports.line(seconds)}")
+        println("  commits: ${commits.line(seconds)}")
+        println("  direct commands: ${direct.line(seconds)}")
+        println("  ticks: ${ticks.line(seconds)}")
+        allAtOnce()
+        takeOver()
+    }
+
+    private fun elect(): Scheduler {
+        val s = Scheduler(settings, ++revision) { }
+        s.types(listOf(rack), now)
+        workers.chunked(PAGE).forEach { page ->
+            s.listed(
+                page.map { ListedMachine(it.id, "box", it.zone, it.spot, "running", 60.0) },
+                page.last() !== workers.last(),
+                now,
+            )
+        }
+        live.values.forEach { s.jobChanged(it, now) }
+        rounds.entries.sortedBy { it.value.first }.forEach { (key, value) -> s.replayRound(key, value.second, value.first, now) }
+        s.replayDone(now)
+        return s
+    }
+
+    private fun step() {
+        now += STEP_MS
+        permits = minOf(settings.txnOps.toDouble(), permits + settings.stateWriteRps * WRITE_SHARE * STEP_MS / 1000)
+        for (w in workers) if (now >= w.nextReportAt) report(w)
+        commits.measure { scheduler.nextCommit(now, now, permits.toInt()) }?.let(::apply)
+        direct.measure { scheduler.directCalls(now, scheduler.cluster.bounds.directCalls) }.forEach { call ->
+            val report = byId.getValue(call.machine).also { it.step(now) }.commanded(call.term, call.season, call.orders)
+            scheduler.directAnswered(call, report, now)
+        }
+        if (now % TICK_MS == 0L) ticks.measure { scheduler.tick(now) }
+        when (val call = scheduler.cloudCall(now)) {
+            is CloudCall.ListPage -> scheduler.listed(page(call.after), false, now)
+            is CloudCall.Rent -> scheduler.fleet.noCapacity(call.intent, now)
+            CloudCall.Types -> scheduler.types(listOf(rack), now)
+            is CloudCall.Return, null -> {}
+        }
+    }
+
+    private fun page(after: String?) = workers.filter { after == null || it.id > after }.map { ListedMachine(it.id, "box", it.zone, it.spot, "running", 60.0) }
+
+    private fun report(w: SimWorker) {
+        w.step(now)
+        val told = w.report()
+        // As the codec does: the same list of tasks again is the same object.
+        val tasks = tasksTold[w.id]?.takeIf { it == told.tasks } ?: told.tasks.also { tasksTold[w.id] = it }
+        val answer = reports.measure { scheduler.report(told.copyOf(tasks), true, now) }
+        if (answer is ReportAnswer.Orders) w.answered(answer.term, answer.orders, now, told.season)
+        w.nextReportAt = now + REPORT_MS
+    }
+
+    private fun Report.copyOf(tasks: List<ReportedTask>) = Report(machine, address, type, zone, spot, season, tally, termSeen, noticeS, tasks)
+
+    private fun apply(commit: Commit) {
+        val at = ++revision
+        for (w in commit.writes) {
+            writes += if (w is Write.Finish) 2 else 1
+            when (w) {
+                is Write.Round -> {
+                    rounds[w.key] = at to w.record
+                    roundBytes += Records.round(w.record).size
+                }
+                is Write.SweepRound -> rounds.remove(w.key)
+                is Write.Finish -> live.remove(w.job.id)
+                else -> {}
+            }
+        }
+        permits -= commit.writes.size
+        commits.measure { scheduler.committed(commit, CommitResult.Done(at), now) }
+    }
+
+    private fun allAtOnce() {
+        val once = Cost()
+        now += REPORT_MS
+        once.measure {
+            for (w in workers) {
+                w.step(now)
+                val told = w.report()
+                val answer = scheduler.report(told, true, now)
+                if (answer is ReportAnswer.Orders) w.answered(answer.term, answer.orders, now, told.season)
+            }
+        }
+        println("  all machines report at once: %.0f ms of processor time".format(once.nanos / 1e6))
+    }
+
+    private fun takeOver() {
+        val replay = Cost()
+        val successor = replay.measure { elect() }
+        println("  replay of ${live.size} jobs, ${rounds.size} rounds, ${successor.cluster.machines.size} machines: %.0f ms".format(replay.nanos / 1e6))
+    }
+
+    private companion object {
+        const val CPUS = 16
+        const val TASKS = 16
+        const val IMAGES = 12
+        const val PAGE = 500
+        const val STEP_MS = 50L
+        const val TICK_MS = 250L
+        const val REPORT_MS = 1_000L
+        const val TASK_MS = 25_000L
+        const val WRITE_SHARE = 0.8
+    }
+}
+
+/** Arguments: seconds of simulated time, then numbers of machines; each is measured with 10,000 jobs. */
+fun main(args: Array<String>) {
+    val runMs = (args.firstOrNull() ?: "60").toLong() * 1000
+    for (machines in args.drop(1).ifEmpty { listOf("700", "2000", "4000") }) FleetSize(machines.toInt(), JOBS, runMs).run()
+}
+
+private const val JOBS = 10_000
