--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -45,8 +45,17 @@
     /** Whether the jobs have been read. */
     val loaded: Boolean get() = replica.loaded
 
-    /** Told of jobs that change. */
-    var listener: JobListener? by replica::listener
+    /** Told of jobs that change: the leaders here. */
+    val listeners = LinkedHashSet<JobListener>()
+
+    init {
+        replica.listener =
+            object : JobListener {
+                override fun changed(job: AcceptedJob) = listeners.forEach { it.changed(job) }
+
+                override fun removed(id: String) = listeners.forEach { it.removed(id) }
+            }
+    }
 
     /** Told when the view shows all that had happened by a moment, in steady milliseconds. */
     var onComplete: (Long) -> Unit = {}
--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import mintfield.app.sharing.ShareLeader
 import mintfield.core.Commit
 import mintfield.core.CommitResult
 import mintfield.core.DirectCall
@@ -18,7 +19,9 @@
 import mintfield.core.leadership.DirectReportReturn
 import mintfield.core.leadership.LeaseClock
 import mintfield.core.model.AcceptedJob
+import mintfield.core.model.JobSpec
 import mintfield.core.model.Report
+import mintfield.core.ownership.WholeFleet
 import mintfield.io.http.Reply
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
@@ -26,6 +29,7 @@
 import mintfield.io.store.Guard
 import mintfield.io.store.KeyWrite
 import mintfield.io.store.Keys
+import mintfield.io.store.LeaderKeys
 import mintfield.io.store.StoreResult
 import mintfield.io.store.TxnOutcome
 import mintfield.io.worker.WorkerCodec
@@ -41,18 +45,38 @@
     private val clock: LeaseClock,
     term: Long,
     private val horizon: CancellationHorizon,
+    /** The share that it leads, if machines are shared. */
+    val shareLeader: ShareLeader?,
     private val deposed: (String) -> Unit,
 ) : JobListener {
     private val settings = outside.settings
     private val store = outside.store
-    val scheduler = Scheduler(settings, term, { view.live[it]?.withdrawn == true }) { Log.info(it) }
-    private val writes = Pacer(loop, settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
-    private val storeWrites = StoreWrites(settings.valueKb, lease) { leaderValue(settings.member, nonce) }
-    private val replay = Replay(loop, outside, view, scheduler)
+    private val keys = LeaderKeys(shareLeader?.share?.name)
+    val scheduler = Scheduler(settings, term, { view.live[it]?.withdrawn == true }, shareLeader?.ownership ?: WholeFleet) { Log.info(it) }
+
+    /** Its part of the permitted writes: the leaders of other shares write as well. */
+    private val permittedWrites =
+        settings.stateWriteRps / (
+            settings.operator.sharing
+                ?.shares
+                ?.size ?: 1
+        )
+    private val writes = Pacer(loop, permittedWrites * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
+    private val storeWrites = StoreWrites(keys, settings.valueKb, lease) { leaderValue(settings.member, nonce) }
+    private val replay = Replay(loop, outside, view, scheduler, keys, ::schedules)
     private val desk = CloudCalls(loop, outside.cloud, scheduler.fleet)
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private var directCalls = 0
 
+    init {
+        shareLeader?.attach(scheduler)
+    }
+
+    private fun schedules(spec: JobSpec) =
+        settings.operator.sharing
+            ?.ofTeam(spec.team)
+            ?.name == shareLeader?.share?.name
+
     fun mayAct() = clock.mayAct(loop.nowMs())
 
     fun leaseLeftMs() = clock.leftMs(loop.nowMs())
@@ -92,13 +116,13 @@
     /** Changes of users wait for the store: leaves them room for a while. */
     fun giveWay() {
         yieldUntilMs = loop.nowMs() + Tuning.YIELD_MS
-        writes.rate = settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE_YIELDING
+        writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE_YIELDING
     }
 
     private fun writesAvailable(): Double {
         if (yieldUntilMs > 0 && loop.nowMs() > yieldUntilMs) {
             yieldUntilMs = 0
-            writes.rate = settings.stateWriteRps * Tuning.LEADER_WRITE_SHARE
+            writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE
         }
         return writes.available
     }
@@ -107,10 +131,18 @@
         wake.trySend(Unit)
     }
 
+    /** Counts [count] writes that were made besides its commits. */
+    fun wrote(count: Int) = writes.take(count.toDouble())
+
     fun start() {
         part("renewal") { renew() }
         part("replay") {
+            shareLeader?.readAssignments()
             replay.run(this)
+            shareLeader?.let { share ->
+                part("assignments") { share.changeAssignments(this) }
+                part("tasks elsewhere") { share.followAwayTasks(this) }
+            }
             part("commits") { commitLoop() }
             part("cloud") { cloudLoop() }
             part("time") { tickLoop() }
@@ -159,6 +191,7 @@
     // ---- jobs ----
 
     override fun changed(job: AcceptedJob) {
+        if (!schedules(job.spec)) return
         scheduler.jobChanged(job, loop.nowMs())
         kick()
     }
@@ -185,7 +218,7 @@
 
     private suspend fun carryOut(wanted: Commit) {
         val guards = LinkedHashMap<String, Guard>()
-        guards[Keys.LEADER] = Guard(Keys.LEADER, wanted.term)
+        guards[keys.leader] = Guard(keys.leader, wanted.term)
         val puts = ArrayList<KeyWrite>()
         val taken = ArrayList<Write>()
         var bytes = 0
@@ -231,7 +264,7 @@
     }
 
     private suspend fun failed(keys: List<String>): CommitResult {
-        if (Keys.LEADER in keys) {
+        if (this.keys.leader in keys) {
             checkLeaderKey()
             return CommitResult.Refused
         }
@@ -239,8 +272,8 @@
     }
 
     /** The leader key is not at our mark: a rewriting of our own without an answer went through, or our time is over. */
-    private suspend fun checkLeaderKey() {
-        when (val r = store.get(Keys.LEADER, urgent = true)) {
+    suspend fun checkLeaderKey() {
+        when (val r = store.get(keys.leader, urgent = true)) {
             is StoreResult.Ok -> {
                 val e = r.value
                 if (e == null || e.data["nonce"] != nonce || e.lease != lease) return deposed("another leader has come")
--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -1,7 +1,9 @@
 package mintfield.app
 
+import mintfield.app.sharing.MachinesCommand
 import mintfield.app.warmup.WarmUp
 import mintfield.core.model.LogFormat
+import mintfield.core.model.Settings
 import mintfield.io.loop.Log
 import mintfield.io.settings.OperatorFile
 import mintfield.io.settings.SettingsFault
@@ -23,10 +25,12 @@
 /** Commands; without one the program serves. */
 private const val CHECK = "check"
 private const val WARM_UP = "warm-up"
+private const val MACHINES = "machines"
 
-private const val USAGE = "mintfield --config FILE [--operator FILE] | check FILE"
+private const val USAGE = "mintfield --config FILE [--operator FILE] | check FILE | machines show | machines move MACHINE SHARE | machines cancel MACHINE"
 private const val COMMANDS =
-    "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it"
+    "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it; " +
+        "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back"
 
 /** Exit code for settings or arguments that cannot be used. */
 private const val BAD_USAGE = 2
@@ -54,6 +58,7 @@
         when (words.firstOrNull()) {
             null -> serve(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR))
             CHECK -> check(words.drop(1).singleOrNull() ?: refuse("$CHECK expects one FILE"))
+            MACHINES -> machines(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR), words.drop(1))
             WARM_UP -> {
                 WarmUp().run()
                 exitProcess(0)
@@ -79,10 +84,27 @@
     config: String?,
     operatorFile: String?,
 ) {
-    val path = config ?: refuse("expected --config FILE; see --help")
-    val settings = SettingsFile.read(path)
+    val settings = settings(config, operatorFile)
+    Log.json = settings.operator.logFormat == LogFormat.JSON
+    Node(settings).run()
+}
+
+private fun machines(
+    config: String?,
+    operatorFile: String?,
+    words: List<String>,
+) {
+    val code = MachinesCommand(settings(config, operatorFile), ::println).run(words) ?: refuse("$MACHINES expects show, move MACHINE SHARE or cancel MACHINE")
+    exitProcess(code)
+}
+
+private fun settings(
+    config: String?,
+    operatorFile: String?,
+): Settings {
+    val settings = SettingsFile.read(config ?: refuse("expected --config FILE; see --help"))
     // Its classes load only when it is named: every class costs time at the start.
-    val operator = operatorFile?.let { OperatorFile.read(it) } ?: settings.operator
-    Log.json = operator.logFormat == LogFormat.JSON
-    Node(settings.copy(operator = operator)).run()
+    val operator = operatorFile?.let { OperatorFile.read(it) } ?: return settings
+    operator.sharing?.problem(settings)?.let { throw SettingsFault("$operatorFile: $it") }
+    return settings.copy(operator = operator)
 }
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -6,17 +6,19 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.plus
+import mintfield.app.sharing.ShareLeader
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.LeaderRole
 import mintfield.core.leadership.LeaseClock
 import mintfield.core.leadership.Role
+import mintfield.core.ownership.ShareSettings
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
 import mintfield.io.store.Entry
 import mintfield.io.store.Guard
 import mintfield.io.store.KeyWrite
-import mintfield.io.store.Keys
+import mintfield.io.store.LeaderKeys
 import mintfield.io.store.StoreResult
 import mintfield.io.store.TxnOutcome
 import kotlin.coroutines.coroutineContext
@@ -29,8 +31,12 @@
     private val outside: Outside,
     private val view: JobView,
     private val horizon: CancellationHorizon,
+    /** The share that is to be led, if machines are shared, and what its leader needs besides. */
+    val share: ShareSettings? = null,
+    private val shareLeader: (ShareSettings) -> ShareLeader = { error("machines are not shared") },
     private val announce: () -> Unit,
 ) {
+    private val keys = LeaderKeys(share?.name)
     private val store = outside.store
     private val leaseMs = outside.settings.operator.leaderLeaseMs
     private val me = outside.settings.member
@@ -38,7 +44,7 @@
 
     /** Tells this process from an earlier one of the same member. */
     private val nonce = java.lang.Long.toHexString(random.nextLong())
-    val leadership = LeaderRole { Log.info(it) }
+    val leadership = LeaderRole { Log.info(if (share == null) it else "${share.name}: $it") }
     var leader: Leader? = null
         private set
 
@@ -69,7 +75,7 @@
     }
 
     private suspend fun seek() {
-        when (val r = store.get(Keys.LEADER, urgent = true)) {
+        when (val r = store.get(keys.leader, urgent = true)) {
             is StoreResult.Ok -> {
                 val entry = r.value
                 when {
@@ -94,7 +100,7 @@
         leadership.moveTo(Role.FOLLOWING, entry.data["member"] as? String)
         var after = entry.mark
         while (true) {
-            when (val r = store.watch(Keys.LEADER, after, Tuning.LEADER_WATCH_MS, urgent = true)) {
+            when (val r = store.watch(keys.leader, after, Tuning.LEADER_WATCH_MS, urgent = true)) {
                 is StoreResult.Ok -> {
                     if (r.value.tooOld) return
                     val last = r.value.newest()
@@ -110,14 +116,16 @@
 
     private suspend fun stand() {
         delay(random.nextLong(Tuning.ELECTION_SPREAD_MS))
+        // The controller that should lead a share goes first, if it is up.
+        if (share != null && share.home != me) delay(Tuning.HOME_FIRST_MS)
         val sentAt = loop.nowMs()
         val lease = (store.grantLease(leaseMs) as? StoreResult.Ok)?.value
         if (lease == null) {
             delay(Tuning.STORE_RETRY_MS)
             return leadership.moveTo(Role.SEEKING, null)
         }
-        val put = KeyWrite.Put(Keys.LEADER, Leader.leaderValue(me, nonce), lease)
-        val r = store.txn(listOf(Guard(Keys.LEADER, 0)), listOf(put), urgent = true)
+        val put = KeyWrite.Put(keys.leader, Leader.leaderValue(me, nonce), lease)
+        val r = store.txn(listOf(Guard(keys.leader, 0)), listOf(put), urgent = true)
         val term =
             when {
                 r is StoreResult.Ok && r.value is TxnOutcome.Applied -> (r.value as TxnOutcome.Applied).revision
@@ -137,7 +145,7 @@
      * leader.
      */
     private suspend fun termOf(lease: Long): Long? {
-        val entry = (store.get(Keys.LEADER, urgent = true) as? StoreResult.Ok)?.value
+        val entry = (store.get(keys.leader, urgent = true) as? StoreResult.Ok)?.value
         return entry?.takeIf { it.data["nonce"] == nonce && it.lease == lease }?.mark
     }
 
@@ -147,9 +155,9 @@
         clock: LeaseClock,
     ) {
         leadership.moveTo(Role.LEADING, me)
-        Log.info("leading with term $term")
+        Log.info("leading ${share?.name ?: ""}".trim() + " with term $term")
         val terms = scope + SupervisorJob(scope.coroutineContext[Job])
-        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term, horizon) { why -> depose(terms, why) }
+        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term, horizon, share?.let(shareLeader)) { why -> depose(terms, why) }
         leader = fresh
         fresh.start()
         announce()
@@ -161,8 +169,8 @@
     ) {
         if (leader == null) return
         Log.info("not leading any more: $why")
+        leader?.let(view.listeners::remove)
         leader = null
-        view.listener = null
         leadership.moveTo(Role.SEEKING, null)
         terms.cancel()
     }
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import mintfield.app.sharing.ShareLeader
+import mintfield.app.sharing.SharingNode
 import mintfield.core.FleetRoom
 import mintfield.core.ReportAnswer
 import mintfield.core.SocketBounds
@@ -15,6 +17,8 @@
 import mintfield.core.leadership.SilentSiblingRelay
 import mintfield.core.model.Settings
 import mintfield.core.model.fittingTypes
+import mintfield.core.ownership.GuestAnswer
+import mintfield.core.ownership.GuestQuery
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.HttpServer
 import mintfield.io.http.Response
@@ -24,6 +28,7 @@
 import mintfield.io.loop.Log
 import mintfield.io.loop.Pacer
 import mintfield.io.loop.scope
+import mintfield.io.ownership.GuestCodec
 import mintfield.io.peer.PeerLink
 import mintfield.io.worker.WorkerCodec
 import java.nio.channels.AsynchronousChannelGroup
@@ -42,7 +47,8 @@
         JobView(outside.store, scope, checkGapMs, loop::nowMs) { fittingTypes(it.spec, outside.types.values) }
     private val horizon = CancellationHorizon(settings.siblings.map { it.member })
     private val cancellations = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
-    private val member = Member(loop, scope, outside, view, horizon) { peers.announce() }
+    private val sharing = settings.operator.sharing?.let { SharingNode(it, outside.store, { id -> view.live[id]?.spec }, ::leaderOf) }
+    private val leaderships = Leaderships(members(), sharing)
     private val changes =
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
@@ -54,15 +60,25 @@
     private val bounds = SocketBounds(settings)
     private val clientServer = HttpServer(loop, scope, group, bounds.incoming, ::client)
 
+    private fun members(): List<Member> {
+        val shared = sharing ?: return listOf(Member(loop, scope, outside, view, horizon) { peers.announce() })
+        return shared.settings.shares.map { share ->
+            Member(loop, scope, outside, view, horizon, share, { ShareLeader(shared, it, loop, outside.store, ::askGuests) }) { peers.announce() }
+        }
+    }
+
+    private fun leaderOf(share: String): String? = leaderships.leaderOf(share)
+
     fun run() {
         FleetRoom(settings).shortcomings(Runtime.getRuntime().maxMemory()).forEach(Log::info)
         loop.start()
         loop.post {
-            HttpServer(loop, scope, group, bounds.fromSiblings, peers::receive).start(parseAddress(settings.internalAddress)!!)
+            scope.launch { HttpServer(loop, scope, group, bounds.fromSiblings, peers::receive).startWhenFree(parseAddress(settings.internalAddress)!!) }
             outside.store.onContact = peers::storeContact
             view.onComplete = horizon::viewed
-            changes.onCrowded = { member.leader?.giveWay() }
-            scope.launch { member.run() }
+            changes.onCrowded = ::siblingCrowded
+            sharing?.let { scope.launch { it.assignments.follow() } }
+            leaderships.members.forEach { scope.launch { it.run() } }
             scope.launch { prepare() }
             scope.launch { lookForStore() }
             scope.launch { watchOver() }
@@ -87,8 +103,8 @@
      */
     private suspend fun serveClients() {
         val until = loop.nowMs() + Tuning.LISTEN_WITHOUT_LEADER_MS
-        while (member.known == null && loop.nowMs() < until) delay(Tuning.LISTEN_STEP_MS)
-        clientServer.start(parseAddress(settings.clientListen)!!)
+        while (!leaderships.anyKnown && loop.nowMs() < until) delay(Tuning.LISTEN_STEP_MS)
+        clientServer.startWhenFree(parseAddress(settings.clientListen)!!)
         Log.info("${settings.member} in ${settings.zone} serves ${settings.clientListen}")
     }
 
@@ -117,7 +133,7 @@
             delay(Tuning.WATCH_MS)
             val lost = loop.nowMs() - from - Tuning.WATCH_MS
             if (lost > Tuning.STOOD_STILL_MS) Log.info("this controller stood still for $lost ms")
-            val now = if (member.leader != null) parkedAt() else null
+            val now = if (leaderships.leaders.isNotEmpty()) parkedAt() else null
             if (now != place) {
                 place = now
                 Log.info(if (now != null) "the controller after this one is silent: workers report to $now" else "workers may report here again")
@@ -182,7 +198,8 @@
         }
 
     private suspend fun checkin(request: HttpMessage): Response {
-        val leader = member.leader ?: return elsewhere(request)
+        val member = leaderships.forReport(request.body) ?: return Response(421, Json.obj { })
+        val leader = member.leader ?: return elsewhere(member, request)
         if (isolated(leader)) {
             val report = reader.report(request.body) ?: return Response.error(400, "not a report")
             if (rounds.sendOn(report.machine, loop.nowMs())) return Response(421, Json.obj { })
@@ -218,7 +235,7 @@
                 Response(421, Json.obj { })
             }
 
-            ReportAnswer.Unrenewed -> {
+            ReportAnswer.Unrenewed, ReportAnswer.OwnedByAnother -> {
                 Response(421, Json.obj { })
             }
 
@@ -228,7 +245,7 @@
 
             is ReportAnswer.Orders -> {
                 // It may have given up while the report waited.
-                if (member.leader !== leader) return Response(421, Json.obj { })
+                if (leader !in leaderships.leaders) return Response(421, Json.obj { })
                 leader.kick()
                 Response(200, WorkerCodec.orders(answer.term, null, answer.orders))
             }
@@ -236,11 +253,14 @@
     }
 
     /** Not the leader: the report goes on to it, and its answer back; it says if the worker should come directly. */
-    private suspend fun elsewhere(request: HttpMessage): Response {
+    private suspend fun elsewhere(
+        member: Member,
+        request: HttpMessage,
+    ): Response {
         val leader = member.known?.takeIf { it != settings.member } ?: return Response(421, Json.obj { })
         if (peers.relaysCrowded(leader)) return Response(421, Json.obj { writeStringField("steward", leader) })
         val sentAt = loop.nowMs()
-        val answer = peers.relay(leader, request.body) ?: return afterSilence(leader, request, sentAt)
+        val answer = peers.relay(leader, request.body) ?: return afterSilence(member, leader, request, sentAt)
         return if (answer.status == 421) Response(421, Json.obj { writeStringField("steward", leader) }) else Response(answer.status, answer.body)
     }
 
@@ -249,6 +269,7 @@
      * about to be a new leader, most likely here.
      */
     private suspend fun afterSilence(
+        member: Member,
         leader: String,
         request: HttpMessage,
         sentAtMs: Long,
@@ -282,28 +303,49 @@
     ) = user(HttpMessage(method, path, "HTTP/1.1", emptyMap(), body))
 
     override suspend fun relayed(body: ByteArray): Response {
-        val leader = member.leader ?: return Response(503, Json.obj { })
+        val leader = leaderships.forReport(body)?.leader ?: return Response(503, Json.obj { })
         val report = reader.report(body) ?: return Response.error(400, "not a report")
         if (parkedAt() == null && leader.comesDirectly(report)) return Response(421, Json.obj { })
         return answer(leader, body)
     }
 
-    override fun leadingTerm(): Long =
-        member.leader
-            ?.scheduler
-            ?.cluster
-            ?.term ?: 0
+    override fun leadingTerms() = leaderships.terms()
 
     override fun crowded() = changes.crowded
 
     override fun siblingCrowded() {
-        member.leader?.giveWay()
+        leaderships.leaders.forEach { it.giveWay() }
     }
 
     override fun siblingLeads(
         member: String,
+        share: String,
         term: Long,
-    ) = this.member.siblingLeads(member, term)
+    ) = leaderships.siblingLeads(member, share, term)
+
+    override fun guestsAsked(body: ByteArray): ByteArray? {
+        val (share, queries) = GuestCodec.parseQuestions(body) ?: return null
+        return leaderships
+            .member(share)
+            ?.leader
+            ?.shareLeader
+            ?.answer(queries)
+            ?.let(GuestCodec::answers)
+    }
+
+    /** Asks the leader of [share], here or at a sibling. */
+    private suspend fun askGuests(
+        share: String,
+        queries: List<GuestQuery>,
+    ): List<GuestAnswer>? {
+        leaderships
+            .member(share)
+            ?.leader
+            ?.shareLeader
+            ?.let { return it.answer(queries) }
+        val controller = leaderOf(share) ?: return null
+        return peers.askGuests(controller, GuestCodec.questions(share, queries))?.let(GuestCodec::parseAnswers)
+    }
 
     override fun cancellationsAfter(
         incarnation: Long,
@@ -318,22 +360,26 @@
         askedAtMs: Long,
     ) {
         horizon.answered(member, page, askedAtMs, loop.nowMs())
-        val scheduler = this.member.leader?.scheduler ?: return
-        page.ids.forEach { scheduler.withdrawnElsewhere(it, loop.nowMs()) }
+        for (leader in leaderships.leaders) page.ids.forEach { leader.scheduler.withdrawnElsewhere(it, loop.nowMs()) }
     }
 
     private fun progress(id: String): Progress? {
-        val scheduler = member.leader?.scheduler ?: return peers.progress(id)
-        val job = scheduler.cluster.jobs[id] ?: return null
-        return Progress(job.doneTasks, scheduler.runningCount(job))
+        val leaders = leaderships.leaders
+        for (leader in leaders) {
+            leader.scheduler.cluster.jobs[id]
+                ?.let { return Progress(it.doneTasks, leader.scheduler.runningCount(it)) }
+        }
+        return if (leaders.isEmpty() || sharing != null) peers.progress(id) else null
     }
 
     /** What the leader tells its siblings of each job, for display. */
     override fun progressNote(): Map<String, Progress> {
-        val leader = member.leader ?: return emptyMap()
-        return leader.scheduler.cluster.jobs.values.associate {
-            it.spec.id to Progress(it.doneTasks, leader.scheduler.runningCount(it))
+        val progress = LinkedHashMap<String, Progress>()
+        for (leader in leaderships.leaders) {
+            leader.scheduler.cluster.jobs.values
+                .forEach { progress[it.id] = Progress(it.doneTasks, leader.scheduler.runningCount(it)) }
         }
+        return progress
     }
 
     private companion object {
--- a/src/main/kotlin/mintfield/app/Outside.kt
+++ b/src/main/kotlin/mintfield/app/Outside.kt
@@ -19,6 +19,8 @@
     private val loop: EventLoop,
     private val group: AsynchronousChannelGroup,
 ) {
+    /** Controllers that may call the cloud at the same time: all, where each leads a share. */
+    private val callers = if (settings.operator.sharing == null) 1 else settings.siblings.size + 1
     val store =
         StoreClient(
             client(settings.stateAddress, STORE_CONNECTIONS),
@@ -28,7 +30,7 @@
     val cloud =
         CloudClient(
             client(settings.cloudAddress, 1),
-            Pacer(loop, settings.cloudRps * Tuning.CLOUD_SHARE, settings.cloudRps),
+            Pacer(loop, settings.cloudRps * Tuning.CLOUD_SHARE / callers, settings.cloudRps / callers),
         )
     val metrics = Metrics()
     val types = LinkedHashMap<String, MachineType>()
--- a/src/main/kotlin/mintfield/app/Replay.kt
+++ b/src/main/kotlin/mintfield/app/Replay.kt
@@ -4,11 +4,12 @@
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
 import mintfield.core.jobs.JobListener
+import mintfield.core.model.JobSpec
 import mintfield.io.cloud.CloudResult
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
 import mintfield.io.store.Entry
-import mintfield.io.store.Keys
+import mintfield.io.store.LeaderKeys
 import mintfield.io.store.Records
 import mintfield.io.store.StoreResult
 
@@ -18,6 +19,9 @@
     private val outside: Outside,
     private val view: JobView,
     private val scheduler: Scheduler,
+    private val keys: LeaderKeys,
+    /** Whether the leader schedules a job. */
+    private val mine: (JobSpec) -> Boolean,
 ) {
     private val store = outside.store
 
@@ -27,8 +31,8 @@
         // Nobody is renewed on a view of the jobs from before the election.
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         // Before anybody is answered: what an earlier leader gave its word on must hold.
-        for (e in readAll(Keys.DISOWNED)) {
-            val key = e.key.removePrefix(Keys.DISOWNED)
+        for (e in readAll(keys.disowned)) {
+            val key = e.key.removePrefix(keys.disowned)
             Records.parseDisowned(key, e.data)?.let { scheduler.disowning.replay(it) } ?: scheduler.disowning.replayUnreadable(key)
         }
         scheduler.disowning.read = true
@@ -39,16 +43,18 @@
         scheduler.types(outside.types.values.toList(), loop.nowMs())
         renewFirst()
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
-        val intents = readAll(Keys.INTENTS)
-        val rounds = readAll(Keys.ROUNDS).sortedBy { it.mark }
+        val intents = readAll(keys.intents)
+        val rounds = readAll(keys.rounds).sortedBy { it.mark }
         readMachines()
-        val hints = readAll(Keys.HINTS).map { Records.parseHints(it.data) }
+        val hints = readAll(keys.hints).map { Records.parseHints(it.data) }
         // Abort and accept of other nodes may have come meanwhile; from here on the listener tells them.
         while (!view.current()) delay(Tuning.STORE_RETRY_MS)
         val now = loop.nowMs()
-        view.listener = listener
-        view.live.values.forEach { scheduler.jobChanged(it, now) }
-        intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(Keys.INTENTS), it.data)) }
+        view.listeners.add(listener)
+        view.live.values
+            .filter { mine(it.spec) }
+            .forEach { scheduler.jobChanged(it, now) }
+        intents.forEach { scheduler.replayIntent(Records.parseIntent(it.key.removePrefix(keys.intents), it.data)) }
         for (r in rounds) {
             var keep = false
             val record =
@@ -57,12 +63,12 @@
                     Log.error("${r.key}: what the round of revision ${r.mark} says of ${job ?: "some job"} cannot be read; it is kept")
                     if (job == null) scheduler.replayUnreadableRound(now) else scheduler.replayUnreadableJob(job)
                 }
-            scheduler.replayRound(r.key.removePrefix(Keys.ROUNDS), record, r.mark, now, keep)
+            scheduler.replayRound(r.key.removePrefix(keys.rounds), record, r.mark, now, keep)
         }
         hints.forEach { scheduler.recall(it) }
         scheduler.replayDone(now)
         Log.info(
-            "replayed ${view.live.size} jobs, ${rounds.size} rounds, ${intents.size} intents, " +
+            "replayed ${scheduler.cluster.jobs.size} jobs, ${rounds.size} rounds, ${intents.size} intents, " +
                 "${scheduler.cluster.machines.size} machines in ${loop.nowMs() - startMs} ms",
         )
     }
--- a/src/main/kotlin/mintfield/app/StoreWrites.kt
+++ b/src/main/kotlin/mintfield/app/StoreWrites.kt
@@ -6,10 +6,12 @@
 import mintfield.io.store.Guard
 import mintfield.io.store.KeyWrite
 import mintfield.io.store.Keys
+import mintfield.io.store.LeaderKeys
 import mintfield.io.store.Records
 
 /** How the leader's writes look in the state service, and what guards them besides the leader key. */
 class StoreWrites(
+    private val keys: LeaderKeys,
     private val valueKb: Double,
     private val lease: Long,
     private val leaderKey: () -> ByteArray,
@@ -18,19 +20,19 @@
 
     fun keyWrites(w: Write): List<KeyWrite> =
         when (w) {
-            is Write.Round -> listOf(KeyWrite.Put(Keys.round(w.key), Records.round(w.record)))
-            is Write.SweepRound -> listOf(KeyWrite.Delete(Keys.round(w.key)))
+            is Write.Round -> listOf(KeyWrite.Put(keys.round(w.key), Records.round(w.record)))
+            is Write.SweepRound -> listOf(KeyWrite.Delete(keys.round(w.key)))
             is Write.Finish ->
                 listOf(
                     KeyWrite.Put(Keys.final(w.job.spec.id), Records.final(FinalState(Stage.DONE, w.job.spec.tasks))),
                     KeyWrite.Delete(Keys.live(w.job.spec.id)),
                 )
             is Write.Sweep -> listOf(KeyWrite.Delete(Keys.live(w.job.spec.id)))
-            is Write.Intend -> listOf(KeyWrite.Put(Keys.intent(w.intent.plea), Records.intent(w.intent)))
-            is Write.Remember -> listOf(KeyWrite.Put(Keys.hints(w.block), Records.hints(w.hints, (valueKb * 1000).toInt())))
-            is Write.Disown -> listOf(KeyWrite.Put(Keys.DISOWNED + w.record.key, Records.disowned(w.record)))
-            is Write.Own -> listOf(KeyWrite.Delete(Keys.DISOWNED + w.key))
-            is Write.DropIntent -> listOf(KeyWrite.Delete(Keys.intent(w.plea)))
-            Write.RaiseTerm -> listOf(KeyWrite.Put(Keys.LEADER, leaderKey(), lease))
+            is Write.Intend -> listOf(KeyWrite.Put(keys.intent(w.intent.plea), Records.intent(w.intent)))
+            is Write.Remember -> listOf(KeyWrite.Put(keys.hints(w.block), Records.hints(w.hints, (valueKb * 1000).toInt())))
+            is Write.Disown -> listOf(KeyWrite.Put(keys.disowned + w.record.key, Records.disowned(w.record)))
+            is Write.Own -> listOf(KeyWrite.Delete(keys.disowned + w.key))
+            is Write.DropIntent -> listOf(KeyWrite.Delete(keys.intent(w.plea)))
+            Write.RaiseTerm -> listOf(KeyWrite.Put(keys.leader, leaderKey(), lease))
         }
 }
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/sharing/AssignmentReplica.kt
@@ -0,0 +1,61 @@
+package mintfield.app.sharing
+
+import kotlinx.coroutines.delay
+import mintfield.core.Tuning
+import mintfield.core.ownership.AssignmentBlock
+import mintfield.core.ownership.AssignmentTable
+import mintfield.io.loop.Log
+import mintfield.io.ownership.AssignmentCodec
+import mintfield.io.store.Keys
+import mintfield.io.store.StoreClient
+import mintfield.io.store.StoreResult
+
+/** Keeps this node's [table] by the state service. */
+class AssignmentReplica(
+    private val store: StoreClient,
+) {
+    val table = AssignmentTable()
+
+    /** Follows changes as they come, until cancelled. */
+    suspend fun follow() {
+        while (true) if (!catchUp(Tuning.JOBS_WATCH_MS)) delay(Tuning.STORE_RETRY_MS)
+    }
+
+    /** Shows all that had happened when this was called; false if the state service cannot be asked. */
+    suspend fun current(): Boolean = catchUp(waitMs = 0)
+
+    private suspend fun catchUp(waitMs: Long): Boolean {
+        if (table.revision == 0L) return load()
+        val changes = (store.watch(Keys.ASSIGNMENTS, table.revision, waitMs, urgent = true) as? StoreResult.Ok)?.value ?: return false
+        if (changes.tooOld) return load()
+        for (change in changes.log) apply(change.key, change.data, change.mark)
+        table.caughtUp(changes.revision)
+        return true
+    }
+
+    private suspend fun load(): Boolean {
+        var after: String? = null
+        var readAt = 0L
+        do {
+            val page = (store.list(Keys.ASSIGNMENTS, after, Tuning.PAGE) as? StoreResult.Ok)?.value ?: return false
+            if (readAt == 0L) readAt = page.revision
+            page.entries.forEach { apply(it.key, it.data, it.mark) }
+            after = page.entries.lastOrNull()?.key
+        } while (page.hasNext && after != null)
+        table.caughtUp(readAt)
+        return true
+    }
+
+    private fun apply(
+        key: String,
+        data: Map<String, Any?>?,
+        mark: Long,
+    ) {
+        val number = key.removePrefix(Keys.ASSIGNMENTS).toIntOrNull()
+        if (number == null || number !in 0 until Tuning.ASSIGNMENT_BLOCKS) return Log.error("$key: not a block of assignments; it is left alone")
+        // Nobody deletes a block: one that is gone says nothing of its machines, least of all that they are gone.
+        val assignments = data?.let(AssignmentCodec::parse)
+        if (assignments == null) Log.error("$key: the assignments of revision $mark cannot be read; they are kept, and their machines left alone")
+        table.apply(number, AssignmentBlock(mark, assignments))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -0,0 +1,69 @@
+package mintfield.app.sharing
+
+import kotlinx.coroutines.launch
+import mintfield.app.Outside
+import mintfield.core.model.Settings
+import mintfield.core.ownership.Assignment
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.scope
+import java.nio.channels.AsynchronousChannelGroup
+import java.util.concurrent.CompletableFuture
+
+/** The command `machines`: shows who owns machines and which of them move, orders moves and takes orders back. */
+class MachinesCommand(
+    private val settings: Settings,
+    private val print: (String) -> Unit,
+) {
+    /** Runs the command with [words] after its name; returns the exit code, or null if the words cannot be used. */
+    fun run(words: List<String>): Int? {
+        if (settings.operator.sharing == null) return refused("machines are not shared: the operators' file has no block sharing")
+        return when {
+            words == listOf("show") -> onLoop { show(it) }
+            words.size == 3 && words[0] == "move" -> onLoop { told(it.move(words[1], words[2])) }
+            words.size == 2 && words[0] == "cancel" -> onLoop { told(it.cancel(words[1])) }
+            else -> null
+        }
+    }
+
+    private fun onLoop(action: suspend (MachineOrders) -> Int): Int {
+        val loop = EventLoop()
+        loop.start()
+        val code = CompletableFuture<Int>()
+        loop.post {
+            val outside = Outside(settings, loop, AsynchronousChannelGroup.withThreadPool(loop.executor))
+            loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, outside.store))) }
+        }
+        return code.get().also { loop.stop() }
+    }
+
+    private suspend fun show(orders: MachineOrders): Int {
+        val status = orders.status() ?: return unavailable()
+        status.shares.forEach { print("${it.name}: ${it.machines} machines, led by ${it.leader ?: "nobody"}") }
+        status.moves.forEach { (machine, move) -> print("$machine: ${describe(move)}") }
+        return DONE
+    }
+
+    private fun describe(move: Assignment) =
+        when (move) {
+            is Assignment.Owned -> "owned by ${move.owner}"
+            is Assignment.Releasing -> "from ${move.owner} to ${move.target}, to be let go"
+            is Assignment.Offered -> "from ${move.owner} to ${move.target}, to be adopted"
+        }
+
+    private fun told(outcome: OrderOutcome): Int =
+        when (outcome) {
+            OrderOutcome.Done -> DONE.also { print("done") }
+            is OrderOutcome.Refused -> refused("refused: ${outcome.refusal.reason}")
+            OrderOutcome.Unavailable -> unavailable()
+        }
+
+    private fun refused(reason: String): Int = REFUSED.also { print(reason) }
+
+    private fun unavailable(): Int = UNAVAILABLE.also { print("the state service does not answer; look with show before you order again") }
+
+    companion object {
+        const val DONE = 0
+        const val REFUSED = 1
+        const val UNAVAILABLE = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
@@ -0,0 +1,47 @@
+package mintfield.app.sharing
+
+import mintfield.core.model.JobSpec
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.ShareSettings
+import mintfield.core.ownership.Shares
+import mintfield.core.ownership.SharingSettings
+import mintfield.io.store.StoreClient
+
+/** What all leaders of this node have in common when machines are shared. */
+class SharingNode(
+    val settings: SharingSettings,
+    store: StoreClient,
+    /** The description of an unfinished job. */
+    private val spec: (String) -> JobSpec?,
+    /** Who leads a share, as far as is known here. */
+    private val leaderOf: (String) -> String?,
+) : Shares {
+    val assignments = AssignmentReplica(store)
+    val table get() = assignments.table
+
+    /** The share whose leader answers reports of [machine], or is about to. */
+    fun shareFor(machine: String): String? =
+        when (val assignment = table.assignment(machine)) {
+            null -> null
+            is Assignment.Offered -> assignment.target
+            else -> assignment.owner
+        }
+
+    /** Whether the jobs of [spec]'s team are scheduled by the leader of [share]. */
+    fun schedules(
+        share: ShareSettings,
+        spec: JobSpec,
+    ) = settings.ofTeam(spec.team)?.name == share.name
+
+    /** The description of a job that another share than [share] schedules. */
+    fun foreignSpec(
+        share: ShareSettings,
+        job: String,
+    ): JobSpec? = spec(job)?.takeIf { !schedules(share, it) }
+
+    override fun isKnown(share: String) = settings.share(share) != null
+
+    override fun isLive(share: String) = leaderOf(share) != null
+
+    override fun maySpare(share: String) = table.count(share) > (settings.share(share)?.floor ?: 0)
+}
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -10,12 +10,15 @@
 import mintfield.core.model.MachineType
 import mintfield.core.model.Settings
 import mintfield.core.model.TaskId
+import mintfield.core.ownership.Ownership
+import mintfield.core.ownership.WholeFleet
 
 /** What the leader knows: unfinished jobs, machines, and what occupies what. */
 class Cluster(
     val settings: Settings,
     /** Term at the election; later ones of the same leader are higher. */
     val firstTerm: Long,
+    val ownership: Ownership = WholeFleet,
     private val log: (String) -> Unit,
 ) {
     class Usage {
@@ -48,6 +51,12 @@
 
     fun team(name: String) = teams[name]
 
+    /** The token of commands to [m]: the leader's term, or the revision at which the machine became its own if that is higher. */
+    fun token(m: Machine): Long = maxOf(term, m.epoch)
+
+    /** Whether [m] has seen a token that nobody but this leader has given it, so that nobody else has renewed its lease since. */
+    fun heardOurs(m: Machine): Boolean = m.termSeen >= maxOf(firstTerm, m.epoch)
+
     fun usage(team: String): Usage = usage.getOrPut(team) { Usage() }
 
     /**
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -20,6 +20,8 @@
 import mintfield.core.model.ReportedState
 import mintfield.core.model.Settings
 import mintfield.core.model.Shape
+import mintfield.core.ownership.Ownership
+import mintfield.core.ownership.WholeFleet
 import mintfield.core.placement.Round
 
 /** How a report is answered. */
@@ -32,6 +34,9 @@
     /** The worker has seen a higher term: this leader's time is over. */
     data object Deposed : ReportAnswer
 
+    /** Another share's leader acts for the machine, or nobody does at the moment. */
+    data object OwnedByAnother : ReportAnswer
+
     /** It may not be answered yet. */
     data object NotNow : ReportAnswer
 
@@ -48,11 +53,12 @@
     term: Long,
     /** Whether a job is recorded as withdrawn, also before the replay has told of it. */
     private val recordedWithdrawn: (String) -> Boolean = { false },
+    private val ownership: Ownership = WholeFleet,
     private val log: (String) -> Unit,
 ) {
-    val cluster = Cluster(settings, term, log)
+    val cluster = Cluster(settings, term, ownership, log)
     private val renewalBound = RenewalBound(settings)
-    private val reports = ReportHandler(cluster, log)
+    internal val reports = ReportHandler(cluster, ::knownWithdrawn, log)
     private val round = Round(cluster, log)
     val fleet = FleetManager(cluster, log)
     val disowning = SilentZones(cluster, log)
@@ -180,7 +186,9 @@
         /** All cancellations that users were told of before this moment are known here. */
         cancellationsToMs: Long = nowMs,
     ): ReportAnswer {
-        if (report.termSeen > cluster.term) return ReportAnswer.Deposed
+        if (!ownership.owns(report.machine)) return ReportAnswer.OwnedByAnother
+        val token = maxOf(cluster.term, ownership.epoch(report.machine))
+        if (report.termSeen > token) return ReportAnswer.Deposed
         if (!disowning.mayAnswer(report.machine)) return ReportAnswer.NotNow
         val mayRenew = renewalBound.allows(nowMs - cancellationsToMs)
         if (!loaded) {
@@ -197,7 +205,7 @@
         if (!mayRenew || (!mayAct && reports.mayStartWithdrawn(m, report))) return ReportAnswer.Unrenewed
         m.answeredAtMs = nowMs
         if (!fresh || !mayAct) return halts(report)
-        return ReportAnswer.Orders(cluster.term, reports.orders(m, checkin = true, nowMs))
+        return ReportAnswer.Orders(token, reports.orders(m, checkin = true, nowMs))
     }
 
     /**
@@ -206,7 +214,7 @@
      */
     private fun halts(report: Report): ReportAnswer =
         ReportAnswer.Orders(
-            cluster.term,
+            maxOf(cluster.term, ownership.epoch(report.machine)),
             report.tasks
                 .filter { it.state != ReportedState.ENDED && knownWithdrawn(it.task.job) }
                 .map { Order.Halt(it.task, it.attempt, 0.0) },
@@ -423,6 +431,11 @@
         }
     }
 
+    /** A write without an answer may yet be carried out: the term must rise, so that its guard fails. */
+    fun fenceLateWrites() {
+        raiseNow = true
+    }
+
     /** The leader key was rewritten: starts under lower terms are void wherever the new one is seen. */
     fun raised(
         term: Long,
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -18,6 +18,9 @@
      *  by the kernel. */
     const val ACCEPT_BACKLOG = 1_024
 
+    /** Milliseconds before an address that cannot be listened on is tried again. */
+    const val BIND_RETRY_MS = 250L
+
     /** Connections taken in a row, ahead of other events. A controller that takes over is tried by all workers within a second. */
     const val ACCEPTS_IN_ROW = 16
 
@@ -55,7 +58,7 @@
     /** Bytes of heap that a leader takes whatever its fleet, and for each machine with the tasks that it holds and the jobs that these
      *  belong to; by `FleetSize`, see docs/fleet-size.md. */
     const val HEAP_BASE_BYTES = 40L * 1024 * 1024
-    const val HEAP_BYTES_PER_MACHINE = 30L * 1024
+    const val HEAP_BYTES_PER_MACHINE = 14L * 1024
 
     // --- Leadership ---
 
@@ -452,6 +455,29 @@
     /** The same when there is no unfinished job at all. */
     const val EMPTY_RETURN_MS = 40_000L
 
+    // --- Sharing ---
+
+    /** Milliseconds that a controller waits before it stands for a share whose home is another: an election of the home takes less. */
+    const val HOME_FIRST_MS = 600L
+
+    /** Blocks of the table of assignments. With 4,000 machines one holds some 63 of them, 3 KB of a value of 8 KiB at the least. */
+    const val ASSIGNMENT_BLOCKS = 64
+
+    /** Changes of assignments in one transaction: a conflict in one block fails them all. */
+    const val ASSIGNMENT_CHANGES_AT_ONCE = 8
+
+    /** Milliseconds between two looks at what is to change in the assignments. */
+    const val ASSIGNMENT_STEP_MS = 100L
+
+    /** Milliseconds after which an offer to a share without a leader is taken back: an election takes less. */
+    const val OFFER_PATIENCE_MS = 8_000L
+
+    /** Milliseconds between questions about tasks on machines that another share owns. */
+    const val GUEST_QUERY_MS = 1_000L
+
+    /** Milliseconds after a machine was adopted for which tasks of jobs that are not known yet are left alone. */
+    const val GUEST_PATIENCE_MS = 5_000L
+
     // --- Peers ---
 
     /** Milliseconds between notes to the siblings. */
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -51,6 +51,12 @@
     private val idleSince = HashMap<String, Long>()
     val boots = Boots()
 
+    /** Told of each machine that is certainly gone. */
+    var returnedNow: (String) -> Unit = {}
+
+    /** Told of what was rented before it is used; true if it may be used at once. */
+    var rentedNow: (RentIntent, List<String>) -> Boolean = { _, _ -> true }
+
     fun typesRead(
         types: List<MachineType>,
         nowMs: Long,
@@ -67,16 +73,95 @@
         nowMs: Long,
     ): Machine? {
         cluster.machines[id]?.let { return it }
-        if (id in gone) return null
+        if (id in gone || !cluster.ownership.owns(id)) return null
         val type = cluster.types[typeName] ?: return null
         val m = Machine(id, type, zone, spot)
         m.firstSeenAtMs = nowMs
-        m.unansweredTerm = cluster.firstTerm - 1
-        m.neededTerm = cluster.firstTerm
+        adoptedAtMs.remove(id)?.let { m.adoptedAtMs = it }
+        m.epoch = cluster.ownership.epoch(id)
+        m.neededTerm = maxOf(cluster.firstTerm, m.epoch)
+        m.unansweredTerm = m.neededTerm - 1
         cluster.machines[id] = m
         return m
     }
 
+    /** A machine of another share on which a recorded plan has tasks; its type is a guess that nothing rests on. */
+    fun away(
+        id: String,
+        type: MachineType,
+        zone: String,
+        nowMs: Long,
+    ): Machine =
+        Machine(id, type, zone, spot = false).also {
+            it.moveTo(MachineState.AWAY, nowMs)
+            it.guessed = true
+            cluster.machines[id] = it
+        }
+
+    /** The machine [id] is another share's from now on; tasks that are planned there stay until its owner has told of them. */
+    fun handedOver(
+        id: String,
+        nowMs: Long,
+    ) {
+        val m = cluster.machines[id] ?: return
+        idleSince.remove(id)
+        if (m.attempts.isEmpty()) cluster.machines.remove(id) else m.moveTo(MachineState.AWAY, nowMs)
+    }
+
+    /**
+     * The machine [id] is this leader's from now on. Its former owner may have renewed it until a moment ago, and its starts are void
+     * only once the worker has seen our token.
+     */
+    fun adopted(
+        id: String,
+        nowMs: Long,
+    ) {
+        val m = cluster.machines[id]
+        if (m == null) {
+            adoptedAtMs[id] = nowMs
+            return
+        }
+        if (m.state != MachineState.AWAY) return
+        m.moveTo(MachineState.AWAITED, nowMs)
+        m.epoch = cluster.ownership.epoch(id)
+        m.neededTerm = maxOf(cluster.firstTerm, m.epoch)
+        m.unansweredTerm = maxOf(m.unansweredTerm, m.neededTerm - 1)
+        m.answeredAtMs = nowMs
+        m.firstSeenAtMs = nowMs
+        m.adoptedAtMs = nowMs
+        m.lastReport = null
+        m.quiet = false
+    }
+
+    /**
+     * The table says that the machine [id] is this leader's, and nothing has described it yet. It is taken for one in use until a list or a
+     * report tells more; if neither comes, its return proves that it is gone.
+     */
+    fun assumed(
+        id: String,
+        nowMs: Long,
+    ) {
+        val type = cluster.types.values.firstOrNull() ?: return
+        val m = machine(id, type.name, type.zones.firstOrNull() ?: return, false, nowMs) ?: return
+        m.guessed = true
+        m.adoptedAtMs = nowMs
+    }
+
+    /** A machine that was rented by this leader has become its own. */
+    fun claimed(
+        id: String,
+        intent: RentIntent?,
+        nowMs: Long,
+    ) {
+        if (intent != null) machine(id, intent.type, intent.zone, intent.spot, nowMs)
+    }
+
+    /** When machines that have not been described yet were adopted. */
+    private val adoptedAtMs = HashMap<String, Long>()
+
+    /** Machines that the cloud lists and that have no owner, and when each was first seen so. */
+    val ownerless = LinkedHashMap<String, Long>()
+
     /** Puts the true description in place of a guessed one, with what was planned there. */
     fun redescribe(
         old: Machine,
@@ -85,10 +170,12 @@
         spot: Boolean,
         nowMs: Long,
     ): Machine? {
-        if (type !in cluster.types || old.state == MachineState.RETURNING) return old
+        if (type !in cluster.types || old.state == MachineState.RETURNING || !cluster.ownership.owns(old.id)) return old
         cluster.machines.remove(old.id)
         val m = machine(old.id, type, zone, spot, nowMs) ?: return null
-        m.unansweredTerm = old.unansweredTerm
+        m.unansweredTerm = maxOf(m.unansweredTerm, old.unansweredTerm)
+        m.adoptedAtMs = old.adoptedAtMs
+        m.answeredAtMs = old.answeredAtMs
         for (a in old.attempts.toList()) {
             val state = a.state
             cluster.release(a, nowMs, Cluster.DESCRIBED_ANEW)
@@ -134,6 +221,11 @@
         nowMs: Long,
     ) {
         for (l in page) {
+            if (!cluster.ownership.owns(l.id)) {
+                if (cluster.ownership.isGone(l.id) && l.id !in gone) ownerless.putIfAbsent(l.id, nowMs)
+                continue
+            }
+            ownerless.remove(l.id)
             if (l.stage == "failed" && l.id !in gone) {
                 val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
                 condemn(m, nowMs, "it failed by itself")
@@ -143,7 +235,9 @@
             val m = machine(l.id, l.type, l.zone, l.spot, nowMs) ?: continue
             if (m.firstListedAtMs == Machine.NEVER) m.firstListedAtMs = nowMs
             m.listedAtMs = nowMs
-            if (m.guessed) redescribe(m, l.type, l.zone, l.spot, nowMs)
+            val described = if (m.guessed) redescribe(m, l.type, l.zone, l.spot, nowMs) ?: m else m
+            // What still boots is not in use.
+            if (l.stage == "starting") described.adoptedAtMs = Machine.NEVER
             // Only a machine that still boots is as old as it is listed. One that is up has merely not reported to this
             // leader yet: judged by its age, a take-over would return the whole fleet.
             if (!known && l.stage == "starting") m.firstSeenAtMs = nowMs - (l.heldS * 1000).toLong().coerceAtMost(MAX_HELD_MS)
@@ -163,21 +257,26 @@
      * taken them. Their return proves that, and there may be room for others in their place.
      */
     private fun unlisted(nowMs: Long) {
-        val lagMs = (cluster.settings.listLagS * 1000 * Tuning.LIST_LAG_TIMES).toLong() + Tuning.LIST_MS
+        val lagMs = listLagMs()
         for (m in cluster.machines.values.toList()) {
             if (m.state != MachineState.SILENT || m.listedAtMs >= listFromMs || m.firstListedAtMs == Machine.NEVER) continue
             if (nowMs - m.firstListedAtMs > lagMs) condemn(m, nowMs, "it is silent and not listed any more")
         }
     }
 
+    /** Milliseconds after which a list must show what there is, at the latest. */
+    fun listLagMs(): Long = (cluster.settings.listLagS * 1000 * Tuning.LIST_LAG_TIMES).toLong() + Tuning.LIST_MS
+
     fun rented(
         intent: RentIntent,
         ids: List<String>,
         nowMs: Long,
     ) {
         intents.remove(intent.plea)
-        spentIntents.add(intent.plea)
-        ids.forEach { machine(it, intent.type, intent.zone, intent.spot, nowMs) }
+        if (rentedNow(intent, ids)) {
+            spentIntents.add(intent.plea)
+            ids.forEach { machine(it, intent.type, intent.zone, intent.spot, nowMs) }
+        }
         log("rented ${ids.size} of ${intent.number} ${intent.type} in ${intent.zone}${if (intent.spot) ", spot" else ""}: $ids")
         if (ids.isNotEmpty()) cluster.types[intent.type]?.let { refusalPause.remove(Offer(it, intent.zone, intent.spot)) }
         if (ids.size < intent.number) refuse(intent, nowMs)
@@ -216,6 +315,7 @@
             refusalPause.remove(offer)
             m.moveTo(MachineState.GONE, nowMs)
             gone.add(id, nowMs)
+            returnedNow(id)
         }
     }
 
@@ -235,7 +335,7 @@
         val silentByZone = HashMap<String, Int>()
         val byZone = HashMap<String, Int>()
         for (m in cluster.machines.values) {
-            if (m.heardAtMs == Machine.NEVER && m.attempts.isEmpty()) continue
+            if (m.state == MachineState.AWAY || (m.heardAtMs == Machine.NEVER && m.attempts.isEmpty())) continue
             byZone.merge(m.zone, 1, Int::plus)
             if (nowMs - m.heardAtMs > cluster.timings.freshReportMs) silentByZone.merge(m.zone, 1, Int::plus)
         }
@@ -281,11 +381,12 @@
         zoneSilent: Boolean,
     ) {
         // What a plan names was up once. If it died before the take-over, only its return proves that its tasks are gone.
-        if (m.attempts.isNotEmpty()) {
+        if (m.attempts.isNotEmpty() || m.adoptedAtMs != Machine.NEVER) {
             val limit =
                 when {
-                    m.guessed -> cluster.timings.unlistedReturnMs
+                    m.guessed && m.attempts.isNotEmpty() -> cluster.timings.unlistedReturnMs
                     zoneSilent -> Tuning.SILENT_ZONE_RETURN_MS
+                    m.adoptedAtMs != Machine.NEVER -> maxOf(cluster.timings.replayedReturnMs, listLagMs())
                     else -> cluster.timings.replayedReturnMs
                 }
             if (nowMs - maxOf(m.firstSeenAtMs, startedAtMs) > limit) condemn(m, nowMs, "it was in use and has not reported to this leader")
@@ -316,17 +417,22 @@
         m: Machine,
         nowMs: Long,
     ) {
-        if (m.attempts.isEmpty() || m.termSeen < cluster.firstTerm || m.answeredAtMs == Machine.NEVER) return
-        if (nowMs - m.answeredAtMs <= cluster.timings.leaseEndedMs) return
+        if (m.attempts.isEmpty() || m.state == MachineState.AWAY || !leaseEnded(m, nowMs)) return
         for (a in m.attempts.toList()) {
             // Planned in the season that has ended: a start still under way names that season and is refused.
             cluster.release(a, nowMs, "lease expired, silent for ${(nowMs - m.heardAtMs) / 1000} s")
         }
     }
 
+    /** Whether the lease that [m] had from this leader has certainly ended. */
+    fun leaseEnded(
+        m: Machine,
+        nowMs: Long,
+    ) = cluster.heardOurs(m) && m.answeredAtMs != Machine.NEVER && nowMs - m.answeredAtMs > cluster.timings.leaseEndedMs
+
     /** Compares what is wanted with what is there, and wishes for what is missing. */
     fun size(nowMs: Long) {
-        if (!listedOnce || wishes.isNotEmpty() || intents.isNotEmpty()) return
+        if (!listedOnce || wishes.isNotEmpty() || intents.isNotEmpty() || cluster.ownership.claiming > 0) return
         var arrays = 0.0
         var services = 0.0
         for (job in cluster.jobs.values) {
@@ -347,11 +453,13 @@
         }
         // Of late machines a part is hoped for all the same, or trouble of the cloud would have us rent without end.
         ordinary += maxOf(0.0, late - (ordinary + spot) * Tuning.LATE_SHARE)
-        if (homeless()?.let { wishFor(it, nowMs) } == true) return
+        val mayRent = cluster.ownership.roomToRent > 0
+        if (mayRent && homeless()?.let { wishFor(it, nowMs) } == true) return
         val ordinaryShort = services * cluster.settings.operator.headroom - ordinary
         val allShort = (services + arrays) * cluster.settings.operator.headroom - ordinary - spot
         if (allShort <= 0 && ordinaryShort <= 0) return returnIdle(nowMs, -allShort)
         idleSince.clear()
+        if (!mayRent) return
         val offer = choose(nowMs) { !it.spot || ordinaryShort <= 0 } ?: return
         val number = Math.ceil(maxOf(allShort, ordinaryShort) / offer.type.cpus).toInt().coerceIn(1, rentAtOnce())
         wish(offer, number, "short of ${allShort.toInt()} CPUs")
@@ -404,7 +512,8 @@
     /** Machines that are late to come up. */
     fun lateCount(nowMs: Long): Int = cluster.machines.values.count { late(it, nowMs) }
 
-    private fun rentAtOnce() = maxOf(Tuning.RENT_AT_ONCE, (cluster.machines.size * Tuning.RENT_SHARE).toInt()).coerceAtMost(Tuning.RENT_AT_MOST)
+    private fun rentAtOnce() =
+        maxOf(Tuning.RENT_AT_ONCE, (cluster.machines.size * Tuning.RENT_SHARE).toInt()).coerceAtMost(minOf(Tuning.RENT_AT_MOST, cluster.ownership.roomToRent))
 
     private fun choose(
         nowMs: Long,
@@ -430,8 +539,9 @@
         nowMs: Long,
         spare: Double,
     ) {
+        if (!cluster.ownership.maySpare) return
         for (m in cluster.machines.values) {
-            if (m.attempts.isNotEmpty() || m.state != MachineState.UP || m.type.cpus > spare) {
+            if (m.inUse || m.state != MachineState.UP || m.type.cpus > spare) {
                 idleSince.remove(m.id)
                 continue
             }
--- a/src/main/kotlin/mintfield/core/fleet/Machine.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Machine.kt
@@ -24,6 +24,9 @@
 
     /** The cloud confirmed that it and everything on it are gone. */
     GONE,
+
+    /** Another share owns it. What is planned there stays so until its owner has told what became of it. */
+    AWAY,
 }
 
 /** A rented machine as the leader knows it, with the attempts that occupy it. */
@@ -81,8 +84,17 @@
     var parked = false
     var directPausedUntilMs = 0L
 
+    /** Lowest token of commands to it: the revision at which it became this leader's, 0 while one leader owns all. */
+    var epoch = 0L
+
+    /** When it was adopted from another owner: with tasks most likely, so it must report soon. */
+    var adoptedAtMs = NEVER
+
     val attempts = LinkedHashSet<Attempt>()
 
+    /** Tasks here whose jobs another share's leader schedules. */
+    val guests = GuestTasks()
+
     /** Attempts by state, and by image: asked for at every round, so never counted anew. */
     private val byState = IntArray(AttemptState.entries.size)
     private val byImage = HashMap<String, Int>()
@@ -124,9 +136,12 @@
     private val images = LinkedHashMap<String, Double>(16, 0.75f, true)
     private var imagesGb = 0.0
 
-    val freeCpus: Double get() = type.cpus - cpus
-    val freeGpus: Double get() = type.gpus - gpus
-    val freeMemoryGb: Double get() = type.memoryGb - memoryGb
+    val freeCpus: Double get() = type.cpus - cpus - guests.cpus
+    val freeGpus: Double get() = type.gpus - gpus - guests.gpus
+    val freeMemoryGb: Double get() = type.memoryGb - memoryGb - guests.memoryGb
+
+    /** Whether any task holds room here. */
+    val inUse: Boolean get() = attempts.isNotEmpty() || !guests.isEmpty
 
     /** The only place where a machine changes its state. */
     fun moveTo(
@@ -249,12 +264,13 @@
         private const val EPSILON = 1e-6
         private val allowed =
             mapOf(
-                MachineState.AWAITED to setOf(MachineState.UP, MachineState.CONDEMNED, MachineState.GONE),
-                MachineState.UP to setOf(MachineState.SILENT, MachineState.CONDEMNED, MachineState.GONE),
-                MachineState.SILENT to setOf(MachineState.UP, MachineState.CONDEMNED, MachineState.GONE),
+                MachineState.AWAITED to setOf(MachineState.UP, MachineState.CONDEMNED, MachineState.GONE, MachineState.AWAY),
+                MachineState.UP to setOf(MachineState.SILENT, MachineState.CONDEMNED, MachineState.GONE, MachineState.AWAY),
+                MachineState.SILENT to setOf(MachineState.UP, MachineState.CONDEMNED, MachineState.GONE, MachineState.AWAY),
                 MachineState.CONDEMNED to setOf(MachineState.UP, MachineState.RETURNING, MachineState.GONE),
                 MachineState.RETURNING to setOf(MachineState.CONDEMNED, MachineState.GONE),
                 MachineState.GONE to emptySet(),
+                MachineState.AWAY to setOf(MachineState.AWAITED, MachineState.GONE),
             )
     }
 }
--- a/src/main/kotlin/mintfield/core/fleet/SilentZones.kt
+++ b/src/main/kotlin/mintfield/core/fleet/SilentZones.kt
@@ -96,7 +96,10 @@
         return silent >= Tuning.DISOWN_LEAST && silent > machines.size * Tuning.SILENT_ZONE_SHARE
     }
 
-    private fun heardHere(m: Machine) = m.termSeen >= cluster.firstTerm && m.answeredAtMs != Machine.NEVER
+    private fun heardHere(m: Machine) = m.state != MachineState.AWAY && cluster.heardOurs(m) && m.answeredAtMs != Machine.NEVER
+
+    /** Whether the machine [id] is not answered by this leader's or an earlier one's word. */
+    fun isDisowned(id: String) = id in standing
 
     private fun disown(
         zone: String,
--- a/src/main/kotlin/mintfield/core/jobs/DirectCommands.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCommands.kt
@@ -33,7 +33,7 @@
         for (m in cluster.machines.values) {
             if (calls.size >= if (lost) 1 else most) break
             if (m.state != MachineState.UP || m.directInFlight || nowMs < m.directPausedUntilMs || (m.relayed && !m.parked)) continue
-            if (nowMs - m.checkedInAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.term) continue
+            if (nowMs - m.checkedInAtMs > cluster.timings.freshReportMs || m.unansweredTerm >= cluster.token(m) || !cluster.ownership.mayStart(m.id)) continue
             if (m.hearing.state == ReachabilityState.DEAF) {
                 // Each may take its whole time-out; those that have something to start must not wait behind them.
                 if (++probes <= PROBES_AT_ONCE && most > cluster.bounds.directCalls / 2) probe(m, nowMs)?.let { calls.add(it) }
@@ -44,7 +44,7 @@
             val orders = reports.orders(m, checkin = false, nowMs)
             if (orders.none { it is Order.Run }) continue
             m.directInFlight = true
-            calls.add(DirectCall(m.id, address, cluster.term, m.season, orders))
+            calls.add(DirectCall(m.id, address, cluster.token(m), m.season, orders))
         }
         return calls
     }
@@ -57,7 +57,7 @@
         val address = m.address ?: return null
         m.directInFlight = true
         m.directPausedUntilMs = nowMs + Tuning.DEAF_PROBE_MS
-        return DirectCall(m.id, address, cluster.term, m.season, emptyList())
+        return DirectCall(m.id, address, cluster.token(m), m.season, emptyList())
     }
 
     fun answered(
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -2,6 +2,7 @@
 
 import mintfield.core.Cluster
 import mintfield.core.Tuning
+import mintfield.core.fleet.GuestTask
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
 import mintfield.core.fleet.ReachabilityState
@@ -16,6 +17,8 @@
 /** Brings what workers report together with what is planned, and says what to order in return. */
 class ReportHandler(
     private val cluster: Cluster,
+    /** Whether users were told that a job is cancelled, whoever schedules it. */
+    private val withdrawn: (String) -> Boolean = { false },
     private val log: (String) -> Unit,
 ) {
     val blame = FailureAttribution(cluster, log)
@@ -45,6 +48,7 @@
         m.heardAtMs = nowMs
         val same = m.quiet && report.tasks === m.lastReport?.tasks
         m.lastReport = report
+        takeGuests(m, report)
         m.takenAtMs = report.noticeS?.let { nowMs + (it * 1000).toLong() }
         if (m.state == MachineState.AWAITED || m.state == MachineState.SILENT) m.moveTo(MachineState.UP, nowMs)
         if (same) return true
@@ -62,6 +66,26 @@
         return true
     }
 
+    private fun takeGuests(
+        m: Machine,
+        report: Report,
+    ) = m.guests.replace(
+        report.tasks.mapNotNull { t ->
+            if (t.task.job in cluster.jobs) return@mapNotNull null
+            cluster.ownership.guestSpec(t.task.job)?.let { GuestTask(it, t) }
+        },
+    )
+
+    /**
+     * The owner of [a]'s machine, another share's leader, has told what a report of the worker shows of it: [t], or nothing if it is
+     * not there. The worker has then seen the owner's token, so no start from here can be carried out there any more.
+     */
+    fun toldByOwner(
+        a: Attempt,
+        t: ReportedTask?,
+        nowMs: Long,
+    ) = if (t == null) cluster.release(a, nowMs, "absent, by the machine's owner") else present(a, t, nowMs)
+
     private fun hearingChanged(
         m: Machine,
         nowMs: Long,
@@ -181,7 +205,7 @@
         if (!checkin) return
         if (trusted) {
             cluster.release(a, nowMs, gone)
-        } else if (a.machine.unansweredTerm >= cluster.term) {
+        } else if (a.machine.unansweredTerm >= cluster.token(a.machine)) {
             cluster.raiseWanted = true
         }
     }
@@ -205,7 +229,7 @@
     ): List<Order> {
         val report = m.lastReport ?: return emptyList()
         if (m.quiet) {
-            if (checkin) m.hearing.told(cluster.term, emptyList())
+            if (checkin) m.hearing.told(cluster.token(m), emptyList())
             return emptyList()
         }
         val halts = ArrayList<Order>()
@@ -215,12 +239,22 @@
         for (t in report.tasks) {
             val job = cluster.jobs[t.task.job]
             val a = job?.attempt(t.task.index)?.takeIf { it.machine === m && it.number == t.attempt }
+            val guest = if (a == null) m.guests[t.task] else null
+            if (guest != null) {
+                seen.add(t.task)
+                when {
+                    guest.ended -> if (checkin && guest.clearWanted) clears.add(Order.Clear(t.task, t.attempt))
+                    guest.haltWanted || withdrawn(t.task.job) -> halts.add(Order.Halt(t.task, t.attempt, 0.0))
+                }
+                continue
+            }
+            if (a == null && job == null && nowMs - m.adoptedAtMs < Tuning.GUEST_PATIENCE_MS) continue
             if (a != null) seen.add(t.task)
             if (t.state == ReportedState.ENDED) {
                 if (checkin && a == null && mayClear(t, job)) {
                     if (trusted) {
                         clears.add(Order.Clear(t.task, t.attempt))
-                    } else if (m.unansweredTerm >= cluster.term) {
+                    } else if (m.unansweredTerm >= cluster.token(m)) {
                         cluster.raiseWanted = true
                     }
                 }
@@ -230,9 +264,10 @@
         }
         val runs = ArrayList<Order>()
         val started = ArrayList<Attempt>()
+        val mayStart = cluster.ownership.mayStart(m.id)
         for (a in m.attempts) {
             val id = cluster.taskId(a)
-            if (id in seen || a.job.withdrawn || a.season != m.season) continue
+            if (!mayStart || id in seen || a.job.withdrawn || a.season != m.season) continue
             val due = a.state == AttemptState.PLANNED || (checkin && a.state == AttemptState.STARTING)
             if (!due) continue
             runs.add(Order.Run(id, a.number))
@@ -240,9 +275,13 @@
             a.everSent = true
             if (a.state == AttemptState.PLANNED) a.moveTo(AttemptState.STARTING, nowMs)
         }
-        if (checkin) m.hearing.told(cluster.term, started)
+        if (checkin) m.hearing.told(cluster.token(m), started)
         if (halts.isEmpty() && clears.isEmpty() && runs.isEmpty()) {
-            m.quiet = seen.size == m.attempts.size && seen.size == report.tasks.size && report.tasks.none { it.state == ReportedState.ENDED }
+            m.quiet =
+                m.guests.isEmpty &&
+                seen.size == m.attempts.size &&
+                seen.size == report.tasks.size &&
+                report.tasks.none { it.state == ReportedState.ENDED }
             return emptyList()
         }
         return (halts + clears + runs).take(MAX_ORDERS)
--- a/src/main/kotlin/mintfield/core/jobs/RoundLedger.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundLedger.kt
@@ -104,6 +104,7 @@
     ): Machine? {
         val type = job.fits.firstNotNullOfOrNull { cluster.types[it] } ?: cluster.types.values.firstOrNull() ?: return null
         val zone = job.spec.zone ?: type.zones.firstOrNull() ?: return null
+        if (!cluster.ownership.owns(id)) return fleet.away(id, type, zone, nowMs)
         return fleet.machine(id, type.name, zone, false, nowMs)?.also { it.guessed = true }
     }
 
--- a/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
+++ b/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
@@ -1,6 +1,7 @@
 package mintfield.core.model
 
 import mintfield.core.Tuning
+import mintfield.core.ownership.SharingSettings
 
 /** What operators may set for themselves, beyond what the platform hands over. */
 data class OperatorSettings(
@@ -12,6 +13,8 @@
     val silentReturnMs: Long? = null,
     /** Machines that the fleet is expected to grow to; null if that is not said. */
     val fleetMachines: Int? = null,
+    /** How machines are shared; null if one leader owns all. */
+    val sharing: SharingSettings? = null,
 )
 
 enum class LogFormat { PLAIN, JSON }
--- /dev/null
+++ b/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
@@ -0,0 +1,228 @@
+package mintfield.core.ownership
+
+import mintfield.core.RentIntent
+import mintfield.core.Scheduler
+import mintfield.core.Tuning
+import mintfield.core.fleet.Machine
+import mintfield.core.fleet.MachineState
+import mintfield.core.jobs.AttemptState
+
+/** A change of one machine's assignment that a leader wants. */
+data class AssignmentChange(
+    val kind: Kind,
+    val machine: String,
+    val next: Assignment?,
+    val condition: LeaderCondition?,
+) {
+    enum class Kind { RELEASE, ADOPT, TAKE_BACK, CLAIM, DROP }
+}
+
+/** Changes that are carried out whole or not at all. */
+class AssignmentTransaction(
+    val changes: List<AssignmentChange>,
+    /** The term of the leader that makes them. */
+    val term: Long,
+    /** The content of each block once it is carried out, and the revision at which the block must be. */
+    val blocks: Map<Int, BlockWrite>,
+) {
+    class BlockWrite(
+        val guardMark: Long,
+        val content: Map<String, Assignment>,
+    )
+
+    val conditions: Set<LeaderCondition> get() = changes.mapNotNullTo(LinkedHashSet()) { it.condition }
+}
+
+/**
+ * One leader's part in the moves of machines: says which assignments it wants to change, and brings what the table shows together with
+ * what its scheduler works with. Everything follows from the table, so a new leader of the same share goes on where the last one was.
+ */
+class HandoverAgent(
+    private val ownership: ShareOwnership,
+    private val table: AssignmentTable,
+    private val scheduler: Scheduler,
+    private val shares: Shares,
+    /** Whether this share takes machines that have no owner. */
+    private val claimsOwnerless: Boolean,
+    private val log: (String) -> Unit,
+) {
+    private val share = ownership.share
+    private val cluster = scheduler.cluster
+    private val fleet = scheduler.fleet
+
+    /** Releases without an answer: the term under which each was sent. Until a higher one is in force it may yet be carried out. */
+    private val inDoubt = HashMap<String, Long>()
+    private val offeredSinceMs = HashMap<String, Long>()
+    private val rentedBy = HashMap<String, RentIntent>()
+    private val toDrop = LinkedHashSet<String>()
+
+    init {
+        fleet.rentedNow = { intent, machines -> rented(intent, machines) }
+        fleet.returnedNow = { toDrop.add(it) }
+    }
+
+    /** The next transaction, or null if nothing is to be changed. */
+    fun next(nowMs: Long): AssignmentTransaction? {
+        if (!scheduler.loaded || table.revision == 0L) return null
+        reconcile(nowMs)
+        val wanted = (moves(nowMs) + claims(nowMs) + drops()).take(Tuning.ASSIGNMENT_CHANGES_AT_ONCE)
+        val transaction = transaction(wanted) ?: return null
+        transaction.changes.forEach { if (it.kind == AssignmentChange.Kind.RELEASE) ownership.letGo(it.machine) }
+        return transaction
+    }
+
+    private fun transaction(wanted: List<AssignmentChange>): AssignmentTransaction? {
+        val blocks = HashMap<Int, AssignmentTransaction.BlockWrite>()
+        val taken = ArrayList<AssignmentChange>()
+        for (change in wanted) {
+            val number = AssignmentTable.blockOf(change.machine)
+            val content = blocks[number]?.content ?: table.blockWith(change.machine, table.assignment(change.machine)) ?: continue
+            val next = LinkedHashMap(content)
+            if (change.next == null) next.remove(change.machine) else next[change.machine] = change.next
+            blocks[number] = AssignmentTransaction.BlockWrite(table.markOf(change.machine), next)
+            taken.add(change)
+        }
+        return if (taken.isEmpty()) null else AssignmentTransaction(taken, cluster.term, blocks)
+    }
+
+    // ---- what is wanted ----
+
+    private fun moves(nowMs: Long): List<AssignmentChange> {
+        offeredSinceMs.keys.retainAll(table.moving.keys)
+        return table.moving.mapNotNull { (machine, assignment) ->
+            when {
+                assignment is Assignment.Releasing && assignment.owner == share ->
+                    if (mayLetGo(machine, nowMs)) change(AssignmentChange.Kind.RELEASE, machine, Handover.release(assignment, share)) else null
+                assignment is Assignment.Offered && assignment.target == share ->
+                    change(AssignmentChange.Kind.ADOPT, machine, Handover.adopt(assignment, share))
+                assignment is Assignment.Offered && assignment.owner == share -> takenBack(machine, assignment, nowMs)
+                else -> null
+            }
+        }
+    }
+
+    /** An offer to a share that nobody leads waits for an election, and is taken back if none comes. */
+    private fun takenBack(
+        machine: String,
+        assignment: Assignment.Offered,
+        nowMs: Long,
+    ): AssignmentChange? {
+        val since = offeredSinceMs.getOrPut(machine) { nowMs }
+        if (nowMs - since < Tuning.OFFER_PATIENCE_MS) return null
+        return change(AssignmentChange.Kind.TAKE_BACK, machine, Handover.takeBack(assignment, share, shares))
+    }
+
+    private fun change(
+        kind: AssignmentChange.Kind,
+        machine: String,
+        step: Step,
+    ): AssignmentChange? = (step as? Step.To)?.let { AssignmentChange(kind, machine, it.next, it.condition) }
+
+    /**
+     * Whether nothing stands against letting [machine] go: no plan whose write is under way, no direct command without an answer yet, and
+     * it is neither being returned nor given this leader's word that it is not answered. What was never sent is withdrawn; a start that
+     * was sent stays planned until the new owner tells of it.
+     */
+    private fun mayLetGo(
+        machine: String,
+        nowMs: Long,
+    ): Boolean {
+        if (ownership.isLettingGo(machine)) return false
+        val m = cluster.machines[machine] ?: return true
+        if (m.state == MachineState.CONDEMNED || m.state == MachineState.RETURNING || scheduler.disowning.isDisowned(machine)) return false
+        m.attempts.filter { it.state == AttemptState.PLANNED && !it.everSent }.forEach { cluster.stop(it, nowMs, "its machine is handed over") }
+        return !m.directInFlight && m.count(AttemptState.PLANNING) == 0
+    }
+
+    private fun claims(nowMs: Long): List<AssignmentChange> {
+        ownership.toClaim.removeAll { it in table.assigned }
+        if (claimsOwnerless) fleet.ownerless.forEach { (machine, sinceMs) -> if (nowMs - sinceMs > fleet.listLagMs()) ownership.toClaim.add(machine) }
+        return ownership.toClaim.mapNotNull { change(AssignmentChange.Kind.CLAIM, it, Handover.claim(table.assignment(it), share)) }
+    }
+
+    private fun drops(): List<AssignmentChange> {
+        toDrop.removeAll { !table.assignment(it).entitles(share) }
+        return toDrop.mapNotNull { change(AssignmentChange.Kind.DROP, it, Handover.drop(table.assignment(it), share)) }
+    }
+
+    private fun rented(
+        intent: RentIntent,
+        machines: List<String>,
+    ): Boolean {
+        val unclaimed = machines.filter { table.assignment(it) == null }
+        unclaimed.forEach { rentedBy[it] = intent }
+        ownership.toClaim.addAll(unclaimed)
+        return unclaimed.isEmpty()
+    }
+
+    // ---- what became of it ----
+
+    /** [transaction] was carried out at [revision]. */
+    fun applied(
+        transaction: AssignmentTransaction,
+        revision: Long,
+        nowMs: Long,
+    ) {
+        for ((number, write) in transaction.blocks) table.apply(number, AssignmentBlock(revision, write.content))
+        for (change in transaction.changes) {
+            log("${change.machine}: ${change.kind.name.lowercase()}, now ${change.next ?: "without an owner"}")
+            when (change.kind) {
+                AssignmentChange.Kind.RELEASE -> ownership.letGoEnded(change.machine)
+                AssignmentChange.Kind.ADOPT -> fleet.adopted(change.machine, nowMs)
+                AssignmentChange.Kind.CLAIM -> claimed(change.machine, nowMs)
+                AssignmentChange.Kind.TAKE_BACK, AssignmentChange.Kind.DROP -> {}
+            }
+        }
+        reconcile(nowMs)
+    }
+
+    private fun claimed(
+        machine: String,
+        nowMs: Long,
+    ) {
+        ownership.toClaim.remove(machine)
+        fleet.ownerless.remove(machine)
+        val intent = rentedBy.remove(machine)
+        fleet.claimed(machine, intent, nowMs)
+        if (intent != null && intent !in rentedBy.values) fleet.spentIntents.add(intent.plea)
+    }
+
+    /** [transaction] was certainly not carried out. */
+    fun refused(transaction: AssignmentTransaction) {
+        releases(transaction).forEach(ownership::letGoEnded)
+    }
+
+    /** There was no answer to [transaction]: it may have been carried out, or may yet be. The term must rise before that is known. */
+    fun unanswered(transaction: AssignmentTransaction) {
+        val released = releases(transaction)
+        released.forEach { inDoubt[it] = transaction.term }
+        if (released.isNotEmpty()) scheduler.fenceLateWrites()
+    }
+
+    private fun releases(transaction: AssignmentTransaction) = transaction.changes.filter { it.kind == AssignmentChange.Kind.RELEASE }.map { it.machine }
+
+    /** Brings the scheduler's machines together with the table: others may have taken an order back, or a late release been carried out. */
+    private fun reconcile(nowMs: Long) {
+        val settled = inDoubt.filterValues { it < cluster.term && cluster.term <= table.revision }.keys
+        settled.forEach(ownership::letGoEnded)
+        inDoubt.keys.removeAll(settled)
+        table.assigned.filter { it !in cluster.machines && ownership.owns(it) && it !in toDrop }.forEach { fleet.assumed(it, nowMs) }
+        for (m in cluster.machines.values.toList()) {
+            val owned = ownership.owns(m.id)
+            if (m.state == MachineState.AWAY && owned) fleet.adopted(m.id, nowMs)
+            if (leaves(m) && !owned && !ownership.isLettingGo(m.id)) fleet.handedOver(m.id, nowMs)
+            if (m.state == MachineState.AWAY && ownership.isGone(m.id)) gone(m, nowMs)
+        }
+    }
+
+    private fun leaves(m: Machine) = m.state == MachineState.AWAITED || m.state == MachineState.UP || m.state == MachineState.SILENT
+
+    /** Its last owner has recorded that the cloud took it back, with all that was on it. */
+    private fun gone(
+        m: Machine,
+        nowMs: Long,
+    ) {
+        m.attempts.toList().forEach { cluster.release(it, nowMs, "its machine is gone") }
+        cluster.machines.remove(m.id)
+    }
+}
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -28,7 +28,7 @@
         val candidates = if (replicasOnly) cluster.jobs.values.filter { it.spec.shape == Shape.SERVICE } else cluster.jobs.values
         val waiting = candidates.filter { !it.withdrawn && !it.finishing && !it.unreadable && nowMs >= it.notBeforeMs && it.askable > 0 }
         if (waiting.isEmpty() || nowMs < cluster.holdUntilMs) return 0
-        val open = cluster.machines.values.filter { it.open(nowMs, cluster.timings.freshReportMs) }
+        val open = cluster.machines.values.filter { it.open(nowMs, cluster.timings.freshReportMs) && cluster.ownership.mayStart(it.id) }
         if (open.isEmpty()) return 0
         val number = cluster.attemptNumber()
         val reserve = ReplicaReserve(cluster, open)
--- a/src/main/kotlin/mintfield/io/http/HttpServer.kt
+++ b/src/main/kotlin/mintfield/io/http/HttpServer.kt
@@ -56,13 +56,35 @@
     val port: Int get() = (listener.localAddress as InetSocketAddress).port
 
     fun start(address: InetSocketAddress) {
-        listener = AsynchronousServerSocketChannel.open(group)
-        listener.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-        listener.bind(address, maxOf(Tuning.ACCEPT_BACKLOG, maxConnections))
+        listener = listen(address)
         scope.launch { acceptAll() }
         scope.launch { sweep() }
     }
 
+    /** Starts as soon as [address] is free: what holds it may let it go, and a controller that serves nobody would be of no use. */
+    suspend fun startWhenFree(address: InetSocketAddress) {
+        var tries = 0
+        while (true) {
+            try {
+                return start(address)
+            } catch (e: IOException) {
+                if (tries++ % BIND_LOG_EVERY == 0) Log.error("$address cannot be listened on: ${e.message}; it is tried again")
+                delay(Tuning.BIND_RETRY_MS)
+            }
+        }
+    }
+
+    private fun listen(address: InetSocketAddress): AsynchronousServerSocketChannel {
+        val opened = AsynchronousServerSocketChannel.open(group)
+        try {
+            opened.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+            return opened.bind(address, maxOf(Tuning.ACCEPT_BACKLOG, maxConnections))
+        } catch (e: IOException) {
+            opened.close()
+            throw e
+        }
+    }
+
     /** Closes connections that rest for too long, or take too long over a message. */
     private suspend fun sweep() {
         while (true) {
@@ -175,6 +197,11 @@
         connection.channel.sendAll(message(head, response.body))
     }
 
+    private companion object {
+        /** Tries to listen between two lines in the log. */
+        const val BIND_LOG_EVERY = 40
+    }
+
     private fun reason(status: Int) =
         when (status) {
             200 -> "OK"
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
+import mintfield.app.Leaderships
 import mintfield.app.Outside
 import mintfield.app.Progress
 import mintfield.core.SocketBounds
@@ -40,6 +41,16 @@
     @ProtoNumber(8) val readNext: Long = 0,
     /** Jobs that the leader has, if a note has no room for the progress of all of them; else 0. */
     @ProtoNumber(9) val jobs: Int = 0,
+    /** The shares that the sender leads, if machines are shared. */
+    @ProtoNumber(10) val shares: List<ShareTerm> = emptyList(),
+)
+
+/** A share that a controller leads, and its term. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+class ShareTerm(
+    @ProtoNumber(1) val share: String,
+    @ProtoNumber(2) val term: Long,
 )
 
 /** The answer to a note: what its sender lacks of the log of cancellations that users were told of here. */
@@ -96,8 +107,8 @@
 ) {
     /** The node, as its peer link sees it. */
     interface Owner {
-        /** The term that this node leads with, or 0. */
-        fun leadingTerm(): Long
+        /** The terms that this node leads with, by share; the name of the only leadership is empty. */
+        fun leadingTerms(): Map<String, Long>
 
         fun progressNote(): Map<String, Progress>
 
@@ -107,12 +118,16 @@
         /** They do so at a sibling. */
         fun siblingCrowded()
 
-        /** A sibling leads with [term]. */
+        /** A sibling leads [share] with [term]. */
         fun siblingLeads(
             member: String,
+            share: String,
             term: Long,
         )
 
+        /** Questions of a sibling's leader about tasks on machines of a share that is led here; null if they cannot be answered. */
+        fun guestsAsked(body: ByteArray): ByteArray?
+
         /** What a sibling that has read the log of [incarnation] up to [next] lacks of the cancellations told here. */
         fun cancellationsAfter(
             incarnation: Long,
@@ -189,19 +204,21 @@
 
     private fun note(sibling: String): PeerNote {
         val (incarnation, next) = owner.cancellationsRead(sibling)
-        val term = owner.leadingTerm()
-        val progress = if (term > 0) owner.progressNote() else emptyMap()
+        val terms = owner.leadingTerms()
+        val term = terms[Leaderships.ONLY] ?: 0
+        val progress = if (terms.isNotEmpty()) owner.progressNote() else emptyMap()
         val page = progressPages.getValue(sibling).next(progress)
         return PeerNote(
             settings.member,
             refusedSinceMs == null,
-            term > 0,
+            terms.isNotEmpty(),
             page,
             term,
             owner.crowded(),
             incarnation,
             next,
             if (page.size < progress.size) progress.size else 0,
+            terms.filterKeys { it != Leaderships.ONLY }.map { (share, its) -> ShareTerm(share, its) },
         )
     }
 
@@ -253,9 +270,19 @@
         return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
     }
 
+    /** Asks [sibling]'s leaders about tasks on their machines; null without an answer. */
+    suspend fun askGuests(
+        sibling: String,
+        body: ByteArray,
+    ): ByteArray? {
+        val reply = clients[sibling]?.call("POST", GUESTS, body, Tuning.PEER_TIMEOUT_MS)
+        return (reply as? Reply.Answer)?.takeIf { it.status == 200 }?.body
+    }
+
     suspend fun receive(request: HttpMessage): Response {
         if (request.second !in PATHS) return Response.error(404, "no such path")
         if (request.first != "POST") return Response.error(405, "only POST is served here")
+        if (request.second == GUESTS) return owner.guestsAsked(request.body)?.let { Response(200, it) } ?: Response.error(409, "not led here")
         if (request.second == "/relay") {
             val relayed = decode(RelayedReport.serializer(), request.body) ?: return Response.error(400, "not a report")
             val answer = owner.relayed(relayed.body)
@@ -273,7 +300,8 @@
         if (note.leading) {
             val told = progressTold.getOrPut(note.member) { ProgressBoard() }
             told.take(note.progress, note.jobs, loop.nowMs())
-            owner.siblingLeads(note.member, note.term)
+            if (note.term > 0) owner.siblingLeads(note.member, Leaderships.ONLY, note.term)
+            note.shares.forEach { owner.siblingLeads(note.member, it.share, it.term) }
         }
         val page = owner.cancellationsAfter(note.readIncarnation, note.readNext)
         val answer = PeerNoteAnswer(page.incarnation, page.from, page.ids, page.total)
@@ -335,6 +363,7 @@
     }
 
     private companion object {
-        val PATHS = setOf("/peer", "/relay", "/user")
+        const val GUESTS = "/guests"
+        val PATHS = setOf("/peer", "/relay", "/user", GUESTS)
     }
 }
--- a/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
@@ -4,6 +4,8 @@
 import com.bertramlabs.plugins.hcl4j.HCLParserException
 import mintfield.core.model.LogFormat
 import mintfield.core.model.OperatorSettings
+import mintfield.core.ownership.ShareSettings
+import mintfield.core.ownership.SharingSettings
 
 /** Reads the operators' own settings (HCL). Unlike the platform's file, a field that is not known is a mistake. */
 object OperatorFile {
@@ -26,7 +28,7 @@
         private val name: String,
     ) {
         fun settings(root: Map<String, Any?>): OperatorSettings {
-            known("", root, setOf("log", "tuning", "fleet"))
+            known("", root, setOf("log", "tuning", "fleet", "sharing"))
             val log = block(root, "log", setOf("format"))
             val tuning = block(root, "tuning", setOf("leader_lease_ms", "headroom", "idle_return_ms", "silent_return_ms"))
             val fleet = block(root, "fleet", setOf("machines"))
@@ -37,20 +39,55 @@
                 headroom = number("tuning", tuning, "headroom", 1.0, 10.0, defaults.headroom),
                 idleReturnMs = number("tuning", tuning, "idle_return_ms", 1_000.0, 86_400_000.0, defaults.idleReturnMs.toDouble()).toLong(),
                 silentReturnMs = tuning["silent_return_ms"]?.let { number("tuning", tuning, "silent_return_ms", 12_000.0, 3_600_000.0, 0.0).toLong() },
+                sharing = if ("sharing" in root) sharing(block(root, "sharing", setOf("share"))) else null,
                 fleetMachines = fleet["machines"]?.let { number("fleet", fleet, "machines", 1.0, 1_000_000.0, 0.0).toInt() },
             )
         }
 
+        private fun sharing(map: Map<String, Any?>): SharingSettings {
+            val shares = block("sharing.", map, "share", null)
+            if (shares.isEmpty()) throw SettingsFault("$name: sharing.share: expected at least one block, found none")
+            return SharingSettings(shares.keys.map { share(it, block("sharing.share.", shares, it, setOf("home", "teams", "floor", "ceiling"))) })
+        }
+
+        private fun share(
+            share: String,
+            map: Map<String, Any?>,
+        ): ShareSettings {
+            val at = "sharing.share $share"
+            if (!SHARE_NAME.matches(share)) throw SettingsFault("$name: $at: expected a name of letters, digits and dashes")
+            val home = map["home"] as? String ?: throw SettingsFault("$name: $at.home: expected a controller's name, found ${map["home"]}")
+            val teams = (map["teams"] as? List<*>)?.takeIf { list -> list.all { it is String } }
+            val floor = number(at, map, "floor", 0.0, MOST_MACHINES, 0.0).toInt()
+            val ceiling = number(at, map, "ceiling", 1.0, MOST_MACHINES, MOST_MACHINES).toInt()
+            if (floor > ceiling) throw SettingsFault("$name: $at.floor: expected no more than the ceiling $ceiling, found $floor")
+            return ShareSettings(
+                share,
+                home,
+                teams?.filterIsInstance<String>() ?: throw SettingsFault("$name: $at.teams: expected a list of teams' names, found ${map["teams"]}"),
+                floor,
+                ceiling,
+            )
+        }
+
         private fun block(
             root: Map<String, Any?>,
             field: String,
             fields: Set<String>,
+        ): Map<String, Any?> = block("", root, field, fields)
+
+        /** The block [field]; with [fields] null it may have any. */
+        private fun block(
+            where: String,
+            root: Map<String, Any?>,
+            field: String,
+            fields: Set<String>?,
         ): Map<String, Any?> {
             val value = root[field] ?: return emptyMap()
 
             @Suppress("UNCHECKED_CAST")
-            val map = value as? Map<String, Any?> ?: throw SettingsFault("$name: $field: expected a block")
-            known("$field.", map, fields)
+            val map = value as? Map<String, Any?> ?: throw SettingsFault("$name: $where$field: expected a block")
+            if (fields != null) known("$where$field.", map, fields)
             return map
         }
 
@@ -85,5 +122,10 @@
             }
             return found
         }
+
+        private companion object {
+            const val MOST_MACHINES = 1_000_000.0
+            val SHARE_NAME = Regex("[A-Za-z0-9-]{1,60}")
+        }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/mintfield/ownership/SharedServiceTest.kt
@@ -0,0 +1,112 @@
+package mintfield.ownership
+
+import mintfield.app.sharing.MachinesCommand
+import mintfield.core.model.Team
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.ShareSettings
+import mintfield.core.ownership.SharingSettings
+import mintfield.io.json.string
+import mintfield.io.ownership.AssignmentCodec
+import mintfield.io.store.Keys
+import mintfield.standin.TestCluster
+import mintfield.standin.TestNode
+import mintfield.standin.await
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Real controllers over loopback, each the leader of a share, with machines that move between them. */
+class SharedServiceTest {
+    private val cluster = TestCluster()
+    private val members = listOf("plot-0", "plot-1", "plot-2")
+    private val shares = members.mapIndexed { i, home -> ShareSettings("s$i", home, listOf("team$i")) }
+    private lateinit var nodes: List<TestNode>
+
+    @AfterEach
+    fun stop() = cluster.stop()
+
+    private fun start(
+        machines: Int,
+        taskMs: Long,
+    ) {
+        cluster.start(machines, taskMs)
+        (0 until machines)
+            .groupBy { AssignmentTable.blockOf(named(it)) }
+            .forEach { (block, numbers) ->
+                val content = numbers.associate { named(it) to Assignment.Owned("s${it % shares.size}") }
+                cluster.standIns.store.plant(Keys.assignments(block), String(AssignmentCodec.write(content)))
+            }
+        nodes =
+            cluster.startSiblings(*members.toTypedArray()) { s ->
+                s.copy(
+                    teams = shares.map { Team(it.teams.single(), 0.0, 0.0, 0.0, 0.0) },
+                    operator = s.operator.copy(sharing = SharingSettings(shares)),
+                )
+            }
+        await("all workers are heard") { cluster.standIns.workers.all { it.sim.term > 0 } }
+    }
+
+    private fun named(number: Int) = "m-%06d".format(number)
+
+    private fun submit(
+        id: String,
+        team: Int,
+        tasks: Int,
+    ) = assertEquals(201, cluster.ask(nodes[(team + 1) % nodes.size].address, "POST", "/v1/jobs", job(id, team, tasks))?.status)
+
+    private fun job(
+        id: String,
+        team: Int,
+        tasks: Int,
+    ) = """{"id":"$id","bench":"slice","crew":"team$team","shape":"sweep","urgency":"normal","pieces":$tasks,"vcpus":1.0,"cards":0,
+        "memoryGb":1.0,"seedbag":"img","sizeGb":1.0,"samePlace":false,"spread":false,"gleaning":true,"growS":3.0,"harvestS":0,"baleS":0}"""
+
+    private fun stage(id: String) = cluster.ask(cluster.nodes.last().address, "GET", "/v1/jobs/$id")?.json?.string("stage")
+
+    private fun command(vararg words: String): Pair<Int?, String> {
+        val printed = ArrayList<String>()
+        val code = MachinesCommand(nodes.first().settings, printed::add).run(words.toList())
+        return code to printed.joinToString("\n")
+    }
+
+    @Test
+    fun `jobs go on while their machines change hands, and none is run twice or lost`() {
+        start(machines = 6, taskMs = 6_000)
+        for (team in 0..2) submit("wk-00000$team", team, tasks = 12)
+        await("tasks run") { cluster.standIns.workers.sumOf { it.present.size } >= 20 }
+        for (round in 0..3) for (machine in 0 until 6) command("move", named(machine), "s${(machine + round + 1) % 3}").also { Thread.sleep(150) }
+        await("all jobs are done") { (0..2).all { stage("wk-00000$it") == "done" } }
+        assertEquals(0, cluster.standIns.workers.sumOf { it.sim.killed }, "tasks lost with a lease")
+        val started = cluster.standIns.workers.flatMap { it.started }
+        assertEquals(36, started.size, "starts: ${started.groupingBy { it }.eachCount().filterValues { it > 1 }}")
+        await("no move is left") { command("show").second.lines().size == 3 }
+    }
+
+    @Test
+    fun `a controller that ends in the middle of moves leaves nothing behind`() {
+        start(machines = 6, taskMs = 5_000)
+        for (team in 0..2) submit("wk-00001$team", team, tasks = 16)
+        await("tasks run") { cluster.standIns.workers.sumOf { it.present.size } >= 20 }
+        for (machine in 0 until 6) command("move", named(machine), "s${(machine + 1) % 3}")
+        cluster.restart(nodes[1])
+        for (machine in 0 until 6) command("move", named(machine), "s${(machine + 2) % 3}")
+        await("all jobs are done") { (0..2).all { stage("wk-00001$it") == "done" } }
+        await("no move is left") { command("show").second.lines().size == 3 }
+    }
+
+    @Test
+    fun `the command shows owners and refuses by reason`() {
+        start(machines = 3, taskMs = 3_000)
+        assertEquals(0 to "s0: 1 machines, led by plot-0\ns1: 1 machines, led by plot-1\ns2: 1 machines, led by plot-2", command("show"))
+        assertEquals(1 to "refused: unknown machine", command("move", "m-9", "s1"))
+        assertEquals(1 to "refused: unknown share", command("move", named(0), "s9"))
+        assertEquals(1 to "refused: the target owns it already", command("move", named(0), "s0"))
+        assertEquals(1 to "refused: it is not moving", command("cancel", named(0)))
+        assertEquals(null, command("move").first)
+        assertEquals(0 to "done", command("move", named(0), "s1"))
+        await("it has moved") { "s1: 2 machines" in command("show").second }
+        assertTrue("s0: 0 machines" in command("show").second)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mintfield/ownership/SharedWorld.kt
@@ -0,0 +1,641 @@
+package mintfield.ownership
+
+import mintfield.Fixtures
+import mintfield.core.CloudCall
+import mintfield.core.Commit
+import mintfield.core.CommitResult
+import mintfield.core.DirectCall
+import mintfield.core.RentIntent
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.Write
+import mintfield.core.fleet.DisownRecord
+import mintfield.core.fleet.ListedMachine
+import mintfield.core.jobs.RoundRecord
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.EndCause
+import mintfield.core.model.JobSpec
+import mintfield.core.model.Order
+import mintfield.core.model.TaskId
+import mintfield.core.model.Team
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.AssignmentBlock
+import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.AssignmentTransaction
+import mintfield.core.ownership.AwayTasks
+import mintfield.core.ownership.GuestAnswer
+import mintfield.core.ownership.GuestDesk
+import mintfield.core.ownership.GuestQuery
+import mintfield.core.ownership.Handover
+import mintfield.core.ownership.HandoverAgent
+import mintfield.core.ownership.LeaderCondition
+import mintfield.core.ownership.Ownership
+import mintfield.core.ownership.ShareOwnership
+import mintfield.core.ownership.Shares
+import mintfield.core.ownership.Step
+import mintfield.core.ownership.entitles
+import mintfield.sim.SimWorker
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/**
+ * Leaders of several shares against one state service, one cloud and workers that they share, with machines that move from one to another
+ * all the time. Leaders are replaced while the old ones go on, transactions lose their answers or are carried out late, messages come late
+ * or never. After every event the rules are checked. All of it follows from [seed].
+ */
+class SharedWorld(
+    seed: Int,
+    private val troubles: Boolean = true,
+    private val faults: Faults = Faults(),
+) {
+    /** Guards that are taken out, to see that the checks catch it. */
+    class Faults(
+        val noEpochs: Boolean = false,
+        val actsWhileLettingGo: Boolean = false,
+        val trustsUnheard: Boolean = false,
+        val haltsGuests: Boolean = false,
+        val unguardedBlocks: Boolean = false,
+    )
+
+    class Broken(
+        rule: String,
+    ) : AssertionError(rule)
+
+    private class Event(
+        val at: Long,
+        val order: Long,
+        val action: () -> Unit,
+    )
+
+    private inner class Lead(
+        val share: String,
+        term: Long,
+    ) {
+        val table = AssignmentTable()
+        val owned = ShareOwnership(share, table) { id -> live[id]?.spec?.takeIf { shareOf(it) != share } }
+        val seen: Ownership =
+            object : Ownership by owned {
+                override fun owns(machine: String) = if (faults.actsWhileLettingGo) table.assignment(machine).entitles(share) else owned.owns(machine)
+
+                override fun epoch(machine: String) = if (faults.noEpochs) 0 else owned.epoch(machine)
+
+                override fun guestSpec(job: String) = if (faults.haltsGuests) null else owned.guestSpec(job)
+            }
+        val log = ArrayList<String>()
+        val scheduler = Scheduler(settings, term, { live[it]?.withdrawn == true }, seen) { log.add("$now $share $it") }
+        val agent = HandoverAgent(owned, table, scheduler, shares, share == SHARES.first()) { log.add("$now $share $it") }
+        val desk = GuestDesk(scheduler)
+        val away = AwayTasks(scheduler)
+        var committing = false
+        var assigning = false
+        var servedAt = now
+
+        /** The state service does not serve it any more; its lease runs out. */
+        var cutOff = false
+        val mayAct get() = now - servedAt < LEASE_MS && !standsStill
+        var standsStill = false
+    }
+
+    private val random = Random(seed)
+    private val queue = PriorityQueue<Event>(compareBy<Event> { it.at }.thenBy { it.order })
+    private var order = 0L
+    private var now = START_MS
+    private val settings = Fixtures.settings.copy(teams = Fixtures.settings.teams + Team("third", 0.0, 0.0, 0.0, 0.0))
+    private val teamShares = mapOf("floor" to "s1", "small" to "s2", "third" to "s3")
+
+    // The state service.
+    private var revision = 10L
+    private val leaderMarks = HashMap<String, Long>()
+    private val blocks = HashMap<Int, AssignmentBlock>()
+    private val live = LinkedHashMap<String, AcceptedJob>()
+    private val rounds = HashMap<String, Triple<String, Long, RoundRecord>>()
+    private val intents = LinkedHashMap<String, Pair<String, RentIntent>>()
+    private val disowned = LinkedHashMap<String, Pair<String, DisownRecord>>()
+
+    // The cloud and the workers.
+    private val workers = LinkedHashMap<String, SimWorker>()
+    private val pleas = HashMap<String, List<String>>()
+
+    private val leads = LinkedHashMap<String, Lead>()
+    private val zombies = ArrayList<Lead>()
+
+    // What really happened, for the checks.
+    private val specs = HashMap<String, JobSpec>()
+    private val withdrawnAt = HashMap<String, Long>()
+    private val doneFor = HashSet<TaskId>()
+    private val heardShare = HashMap<String, Pair<String, Long>>()
+    private val finished = HashSet<String>()
+    var starts = 0
+        private set
+    var moves = 0
+        private set
+    val killed: Int get() = workers.values.sumOf { it.killed }
+    val unfinished: Set<String> get() = live.filter { !it.value.withdrawn }.keys
+    val kept: Set<String> get() = live.keys
+
+    private val shares =
+        object : Shares {
+            override fun isKnown(share: String) = share in SHARES
+
+            override fun isLive(share: String) = share in leaderMarks
+
+            override fun maySpare(share: String) = true
+        }
+
+    private fun shareOf(spec: JobSpec) = teamShares.getValue(spec.team)
+
+    private fun after(
+        ms: Long,
+        action: () -> Unit,
+    ) {
+        queue.add(Event(now + ms, order++, action))
+    }
+
+    private fun chance(p: Double) = random.nextDouble() < p
+
+    fun submit(
+        spec: JobSpec,
+        atMs: Long,
+    ) {
+        queue.add(
+            Event(START_MS + atMs, order++) {
+                specs[spec.id] = spec
+                live[spec.id] = Fixtures.accepted(spec, ++revision, now)
+                tell(spec.id)
+            },
+        )
+    }
+
+    fun abort(
+        id: String,
+        atMs: Long,
+    ) {
+        queue.add(
+            Event(START_MS + atMs, order++) {
+                val job = live[id]?.takeIf { !it.withdrawn } ?: return@Event
+                live[id] = job.copy(mark = ++revision, withdrawn = true)
+                withdrawnAt[id] = now
+                tell(id)
+            },
+        )
+    }
+
+    private fun everyone() = zombies + leads.values
+
+    private fun tell(id: String) =
+        everyone().filter { it.share == shareOf(specs.getValue(id)) }.forEach { lead ->
+            after(random.nextLong(5, LAG_MS)) {
+                val job = live[id]
+                if (job == null) lead.scheduler.jobRemoved(id, now) else lead.scheduler.jobChanged(job, now)
+            }
+        }
+
+    fun run(untilMs: Long) {
+        repeat(MACHINES) { assign(addWorker(if (it % 2 == 0) "north" else "south"), SHARES[it % SHARES.size]) }
+        SHARES.forEach(::elect)
+        tickWorkers()
+        shuffle()
+        if (troubles) trouble()
+        while (now < START_MS + untilMs) {
+            val e = queue.poll() ?: break
+            now = e.at
+            e.action()
+            check()
+        }
+    }
+
+    private fun addWorker(
+        zone: String,
+        spot: Boolean = false,
+    ): String {
+        val id = "m-%06d".format(workers.size)
+        workers[id] = SimWorker(id, zone, spot, now, 10_000, onStart = ::started)
+        return id
+    }
+
+    private fun assign(
+        machine: String,
+        share: String,
+    ) {
+        val number = AssignmentTable.blockOf(machine)
+        blocks[number] = AssignmentBlock(++revision, blocks[number]?.assignments.orEmpty() + (machine to Assignment.Owned(share)))
+    }
+
+    // ---- moves and troubles ----
+
+    private fun truth(machine: String): Assignment? = blocks[AssignmentTable.blockOf(machine)]?.assignments?.get(machine)
+
+    /** Someone orders moves, or takes them back, by what may be old news. */
+    private fun shuffle() {
+        after(random.nextLong(300, 2_000)) {
+            val machine =
+                workers.values
+                    .filter { it.alive }
+                    .random(random)
+                    .id
+            val number = AssignmentTable.blockOf(machine)
+            val known = truth(machine)
+            val mark = blocks[number]?.mark ?: 0
+            val step = if (chance(0.25)) Handover.cancel(known) else Handover.order(known, SHARES.random(random), shares)
+            after(random.nextLong(1, 400)) { if (step is Step.To && blocks[number]?.mark == mark) write(mapOf(machine to step.next)) }
+            shuffle()
+        }
+    }
+
+    private fun write(changes: Map<String, Assignment?>) {
+        revision++
+        for ((machine, next) in changes) {
+            val number = AssignmentTable.blockOf(machine)
+            val content = LinkedHashMap(blocks[number]?.assignments.orEmpty())
+            if (next is Assignment.Owned && content[machine] is Assignment.Offered && next.owner != content[machine]?.owner) moves++
+            if (next == null) content.remove(machine) else content[machine] = next
+            blocks[number] = AssignmentBlock(revision, content)
+        }
+        everyone().forEach { lead -> after(random.nextLong(5, LAG_MS)) { showTable(lead) } }
+    }
+
+    private fun showTable(lead: Lead) {
+        blocks.forEach { (number, block) -> lead.table.apply(number, block) }
+        lead.table.caughtUp(revision)
+    }
+
+    private fun trouble() {
+        after(random.nextLong(800, 5_000)) {
+            when (random.nextInt(7)) {
+                0 -> leads[SHARES.random(random)]?.let(::cutOff)
+                1 -> crash(SHARES.random(random))
+                2 -> workers.values.random(random).let { it.hungUntil = now + random.nextLong(1_000, 15_000) }
+                3 -> if (workers.values.count { it.alive } > MACHINES / 2) workers.values.random(random).alive = false
+                4 -> workers.values.random(random).nextReportAt = now + random.nextLong(4_000, 14_000)
+                5 -> workers.values.random(random).let { it.deafUntil = now + random.nextLong(500, 20_000) }
+                else ->
+                    leads.values.randomOrNull(random)?.let { lead ->
+                        lead.standsStill = true
+                        val forMs = random.nextLong(500, 8_000)
+                        after(forMs) { lead.standsStill = false }
+                        if (forMs >= LEASE_MS) cutOff(lead)
+                    }
+            }
+            trouble()
+        }
+    }
+
+    /** The leader ends; its share is led again once its key is gone. */
+    private fun crash(share: String) {
+        leads.remove(share) ?: return
+        after(LEASE_MS) { leaderMarks.remove(share) }
+        after(LEASE_MS + random.nextLong(50, 12_000)) { elect(share) }
+    }
+
+    /** The leader loses the state service, not the workers. It goes on answering when its lease has ended and another one leads. */
+    private fun cutOff(lead: Lead) {
+        lead.cutOff = true
+        leads.remove(lead.share)
+        zombies.add(lead)
+        after(LEASE_MS) { leaderMarks.remove(lead.share) }
+        after(LEASE_MS + random.nextLong(1, 2_000)) { elect(lead.share) }
+        after(LEASE_MS + random.nextLong(100, 20_000)) { zombies.remove(lead) }
+    }
+
+    /** A new leader, which replays from the store. */
+    private fun elect(share: String) {
+        leaderMarks[share] = ++revision
+        val lead = Lead(share, revision)
+        leads[share] = lead
+        val s = lead.scheduler
+        showTable(lead)
+        disowned.values.filter { it.first == share }.forEach { s.disowning.replay(it.second) }
+        s.disowning.read = true
+        s.types(listOf(Fixtures.box), now)
+        s.listed(listing(), false, now)
+        live.values.filter { shareOf(it.spec) == share }.forEach { s.jobChanged(it, now) }
+        intents.values.filter { it.first == share }.forEach { s.replayIntent(it.second) }
+        rounds.entries
+            .filter { it.value.first == share }
+            .sortedBy { it.value.second }
+            .forEach { (k, v) -> s.replayRound(k, v.third, v.second, now) }
+        s.replayDone(now)
+        loop(lead)
+    }
+
+    private fun listing() = workers.values.filter { it.alive && chance(0.9) }.map { ListedMachine(it.id, "box", it.zone, it.spot, "running", 60.0) }
+
+    private fun loop(lead: Lead) {
+        if (leads[lead.share] !== lead && lead !in zombies) return
+        if (!lead.cutOff && !lead.standsStill && now - lead.servedAt < LEASE_MS) lead.servedAt = now
+        if (!lead.standsStill) {
+            lead.scheduler.tick(now)
+            if (lead.mayAct) act(lead)
+        }
+        after(random.nextLong(20, 120)) { loop(lead) }
+    }
+
+    private fun act(lead: Lead) {
+        if (!lead.committing) lead.scheduler.nextCommit(now, now, 16)?.let { commit(lead, it) }
+        if (!lead.assigning) lead.agent.next(now)?.let { assign(lead, it) }
+        lead.scheduler.directCalls(now, 10).forEach { direct(lead, it) }
+        lead.scheduler.cloudCall(now)?.let { cloud(lead, it) }
+        lead.away.due(now).forEach { ask(lead, it) }
+    }
+
+    // ---- the state service ----
+
+    /** When a transaction is carried out, if ever, and when its sender hears of it, if ever. */
+    private class Fate(
+        val appliedAfterMs: Long?,
+        val answeredAfterMs: Long,
+        val answerLost: Boolean,
+    )
+
+    private fun fate(): Fate {
+        val usual = random.nextLong(3, 60)
+        return when (if (troubles) random.nextInt(20) else TROUBLE_FREE) {
+            0 -> Fate(random.nextLong(2_000, 12_000), NO_ANSWER_MS, answerLost = true)
+            1 -> Fate(null, NO_ANSWER_MS, answerLost = true)
+            2 -> Fate(usual, usual + 50, answerLost = true)
+            else -> Fate(usual, usual + random.nextLong(3, 60), answerLost = false)
+        }
+    }
+
+    private fun commit(
+        lead: Lead,
+        commit: Commit,
+    ) {
+        lead.committing = true
+        val fate = fate()
+        var result: CommitResult = CommitResult.Refused
+        val marks = commit.marks.toMap()
+        fate.appliedAfterMs?.let { after(it) { result = apply(lead.share, commit, marks) } }
+        after(fate.answeredAfterMs) {
+            lead.committing = false
+            val told = if (fate.answerLost) CommitResult.Unknown else result
+            if (told is CommitResult.Refused) readLeaderKey(lead)
+            lead.scheduler.committed(commit, told, now)
+        }
+    }
+
+    private fun readLeaderKey(lead: Lead) {
+        val mark = leaderMarks[lead.share] ?: return
+        if (leads[lead.share] === lead && lead.scheduler.cluster.term != mark) lead.scheduler.raised(mark, now)
+    }
+
+    private fun apply(
+        share: String,
+        commit: Commit,
+        marks: Map<String, Long>,
+    ): CommitResult {
+        if (commit.term != leaderMarks[share]) return CommitResult.Refused
+        val changed = marks.filter { (id, mark) -> live[id]?.mark != mark }.keys
+        if (changed.isNotEmpty()) return CommitResult.Conflict(changed)
+        val r = ++revision
+        for (w in commit.writes) {
+            when (w) {
+                is Write.Round -> rounds[w.key] = Triple(share, r, w.record)
+                is Write.SweepRound -> rounds.remove(w.key)
+                is Write.Finish -> ended(w.job.id).also { finished.add(w.job.id) }
+                is Write.Sweep -> ended(w.job.id)
+                is Write.Intend -> intents[w.intent.plea] = share to w.intent
+                is Write.DropIntent -> intents.remove(w.plea)
+                is Write.Remember -> {}
+                is Write.Disown -> disowned[w.record.key] = share to w.record
+                is Write.Own -> disowned.remove(w.key)
+                Write.RaiseTerm -> leaderMarks[share] = r
+            }
+        }
+        return CommitResult.Done(r)
+    }
+
+    private fun ended(id: String) {
+        workers.values.firstOrNull { w -> id in withdrawnAt && w.present().any { it.job == id } }?.let { throw Broken("swept: $id is still on ${it.id}") }
+        live.remove(id)
+        tell(id)
+    }
+
+    private fun assign(
+        lead: Lead,
+        transaction: AssignmentTransaction,
+    ) {
+        lead.assigning = true
+        val fate = fate()
+        var appliedAt: Long? = null
+        fate.appliedAfterMs?.let { after(it) { if (holds(lead.share, transaction)) appliedAt = carryOut(transaction) } }
+        after(fate.answeredAfterMs) {
+            lead.assigning = false
+            val at = appliedAt
+            when {
+                fate.answerLost -> lead.agent.unanswered(transaction)
+                at != null -> lead.agent.applied(transaction, at, now)
+                else -> {
+                    readLeaderKey(lead)
+                    lead.agent.refused(transaction)
+                }
+            }
+        }
+    }
+
+    private fun holds(
+        share: String,
+        t: AssignmentTransaction,
+    ) = t.conditions.all { c ->
+        when (c) {
+            is LeaderCondition.Leads -> c.share == share && leaderMarks[share] == t.term
+            is LeaderCondition.Leaderless -> c.share !in leaderMarks && leaderMarks[share] == t.term
+        }
+    } &&
+        (faults.unguardedBlocks || t.blocks.all { (number, write) -> (blocks[number]?.mark ?: 0) == write.guardMark })
+
+    private fun carryOut(t: AssignmentTransaction): Long {
+        write(t.changes.associate { it.machine to it.next })
+        return revision
+    }
+
+    // ---- between leaders ----
+
+    private fun ask(
+        lead: Lead,
+        query: GuestQuery,
+    ) {
+        if (troubles && chance(0.1)) return
+        val held = if (troubles && chance(0.1)) random.nextLong(2_000, 15_000) else random.nextLong(1, 100)
+        after(random.nextLong(1, 100)) {
+            val owner = lead.table.assignment(query.machine)?.let { leads[it.owner] } ?: return@after
+            val answer = owner.desk.answer(query, now).takeIf { !owner.standsStill } ?: return@after
+            val told = if (faults.trustsUnheard && answer == GuestAnswer.NotHeardYet) GuestAnswer.Told(emptyList()) else answer
+            after(held) { lead.away.answered(query, told, now) }
+        }
+    }
+
+    // ---- workers ----
+
+    private fun tickWorkers() {
+        for (w in workers.values) {
+            w.step(now)
+            if (!w.alive) continue
+            w.tasks.forEach { (id, t) -> if (t.cause == EndCause.DONE) doneFor.add(id) }
+            if (w.hung) continue
+            if (w.waitingSince >= 0 && now - w.waitingSince > 4_000) w.waitingSince = -1
+            if (w.waitingSince < 0 && now >= w.nextReportAt) sendReport(w)
+        }
+        after(100) { tickWorkers() }
+    }
+
+    private fun sendReport(w: SimWorker) {
+        val report = w.report()
+        val sentAt = now
+        w.waitingSince = now
+        w.nextReportAt = now + random.nextLong(750, 1_250)
+        val strangers = if (troubles) 0.3 else 0.1
+        val to = if (chance(strangers)) everyone().randomOrNull(random) else truth(w.id)?.let { leads[target(it)] }
+        if (troubles && chance(0.03)) return
+        if (troubles && chance(0.1)) after(random.nextLong(500, 40_000)) { everyone().randomOrNull(random)?.let { answer(it, report) } }
+        after(random.nextLong(1, 80)) {
+            val answer = to?.takeIf { !it.standsStill }?.let { answer(it, report) }
+            if (answer == ReportAnswer.OwnedByAnother || to == null) {
+                w.waitingSince = -1
+                w.nextReportAt = now + random.nextLong(50, 500)
+            }
+            if (answer !is ReportAnswer.Orders || (troubles && chance(0.03)) || w.deaf) return@after
+            val epoch = to.owned.epoch(w.id)
+            after(random.nextLong(1, 80)) {
+                if (w.waitingSince != sentAt || now - sentAt > 4_000) return@after
+                w.waitingSince = -1
+                if (answer.term >= w.term && report.season == w.season) accepted(w, to.share, epoch, answer.orders)
+                w.answered(answer.term, answer.orders, sentAt, report.season)
+            }
+        }
+    }
+
+    private fun target(a: Assignment) = if (a is Assignment.Offered) a.target else a.owner
+
+    private fun answer(
+        lead: Lead,
+        report: mintfield.core.model.Report,
+    ) = lead.scheduler.report(report, lead.mayAct, now)
+
+    private fun direct(
+        lead: Lead,
+        call: DirectCall,
+    ) {
+        val w = workers.getValue(call.machine)
+        val fate = if (troubles) random.nextInt(12) else TROUBLE_FREE
+        val travel = if (fate <= 1) random.nextLong(1_500, 40_000) else random.nextLong(1, 60)
+        val epoch = lead.owned.epoch(w.id)
+        var answer: mintfield.core.model.Report? = null
+        if (fate != 2) {
+            after(travel) {
+                if (w.hung || w.deaf) return@after
+                if (w.alive && call.term >= w.term && call.season == w.season) accepted(w, lead.share, epoch, call.orders)
+                answer = w.commanded(call.term, call.season, call.orders)
+            }
+        }
+        after(minOf(travel + random.nextLong(1, 60), NO_ANSWER_MS)) {
+            val got = answer
+            if (got != null && fate > 3) lead.scheduler.directAnswered(call, got, now) else lead.scheduler.directUnanswered(call, true, now)
+        }
+    }
+
+    private fun cloud(
+        lead: Lead,
+        call: CloudCall,
+    ) {
+        val fleet = lead.scheduler.fleet
+        if (troubles && chance(0.1)) return fleet.failed(call, now)
+        when (call) {
+            is CloudCall.Rent -> {
+                val ids =
+                    pleas.getOrPut(call.intent.plea) {
+                        if (workers.values.count { it.alive } <
+                            MACHINES
+                        ) {
+                            listOf(addWorker(call.intent.zone, call.intent.spot))
+                        } else {
+                            emptyList()
+                        }
+                    }
+                if (ids.isEmpty()) fleet.noCapacity(call.intent, now) else fleet.rented(call.intent, ids, now)
+            }
+            is CloudCall.Return -> {
+                call.machines.forEach { workers[it]?.alive = false }
+                if (troubles && chance(0.2)) fleet.failed(call, now) else fleet.returned(call.machines, now)
+            }
+            is CloudCall.ListPage -> fleet.listed(listing(), false, now)
+            CloudCall.Types -> fleet.typesRead(listOf(Fixtures.box), now)
+        }
+    }
+
+    // ---- the rules ----
+
+    /** A worker carries out what the leader of [share] told it while the machine was that share's since [epoch]. */
+    private fun accepted(
+        w: SimWorker,
+        share: String,
+        epoch: Long,
+        orders: List<Order>,
+    ) {
+        val (lastShare, lastEpoch) = heardShare[w.id] ?: (share to epoch)
+        if (epoch < lastEpoch && share != lastShare) throw Broken("former owner: ${w.id} obeys $share of $epoch after $lastShare of $lastEpoch\n${logs(w.id)}")
+        heardShare[w.id] = share to epoch
+        if (troubles) return
+        for (o in orders.filterIsInstance<Order.Halt>()) {
+            if (specs[o.task.job]?.let { shareOf(it) } != share &&
+                o.task.job !in withdrawnAt &&
+                o.task.job in live
+            ) {
+                throw Broken("lost: $share stops ${o.task} on ${w.id}")
+            }
+        }
+    }
+
+    private fun started(
+        on: SimWorker,
+        task: TaskId,
+    ) {
+        starts++
+        val spec = specs.getValue(task.job)
+        workers.values.firstOrNull { it !== on && task in it.present() }?.let {
+            throw Broken("ran_twice: $task starts on ${on.id} while on ${it.id}\n${logs(task.job)}\n${logs(it.id)}")
+        }
+        if (spec.zone != null && on.zone != spec.zone) throw Broken("wrong_place: $task in ${on.zone}")
+        val others = workers.values.filter { w -> w.present().any { it.job == task.job && it != task } }
+        if (spec.oneZone && others.any { it.zone != on.zone }) throw Broken("wrong_place: $task apart from its job")
+        checkCancelled(task.job)
+    }
+
+    private fun check() {
+        for (w in workers.values) {
+            val owners = everyone().filter { it.mayAct && it.seen.owns(w.id) }.map { it.share }.distinct()
+            if (owners.size > 1) throw Broken("two owners: ${w.id} of $owners, $now\n${logs(w.id)}")
+            w.present().forEach { checkCancelled(it.job) }
+        }
+        val used = workers.values.sumOf { w -> w.present().filter { specs[it.job]?.team == "small" }.sumOf { specs.getValue(it.job).cpus } }
+        if (used > settings.teams.first { it.name == "small" }.cpusMax + 1e-6) throw Broken("quota: small uses $used")
+        for (id in finished) (0 until specs.getValue(id).tasks).firstOrNull { TaskId(id, it) !in doneFor }?.let { throw Broken("not_done: $id/$it") }
+    }
+
+    private fun checkCancelled(id: String) {
+        val at = withdrawnAt[id] ?: return
+        if (now - at > settings.cancelS * 1000) throw Broken("ran_cancelled: a task of $id ${now - at} ms after")
+    }
+
+    private fun logs(word: String) = everyone().joinToString("\n") { lead -> lead.log.filter { word in it }.joinToString("\n") }
+
+    /** What the leaders think, for a failed test. */
+    fun state(): String =
+        leads.values.joinToString("\n") { lead ->
+            "${lead.share}: ${lead.scheduler.summary(now)}\n" +
+                lead.scheduler.cluster.machines.values.joinToString("\n") { m ->
+                    "  ${m.id} ${m.state} ${truth(m.id)} seen ${m.termSeen} needed ${m.neededTerm} ${m.attempts.map { "${it.job.id}/${it.index} ${it.state}" }}"
+                }
+        }
+
+    companion object {
+        val SHARES = listOf("s1", "s2", "s3")
+        const val LENGTH_MS = 120_000L
+        private const val MACHINES = 9
+        private const val START_MS = 100_000L
+        private const val LEASE_MS = 3_300L
+        private const val LAG_MS = 300L
+        private const val NO_ANSWER_MS = 1_500L
+        private const val TROUBLE_FREE = 19
+    }
+}
