--- a/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
+++ b/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
@@ -41,6 +41,9 @@
     private var nextLease = 1L
     private var changed = CompletableDeferred<Unit>()
 
+    /** Told of each change: the key, its new value or null, and the revision. Called on the loop. */
+    @Volatile var onChange: (String, Any?, Long) -> Unit = { _, _, _ -> }
+
     /** Refuses everything, as in an outage. */
     @Volatile var down = false
 
@@ -131,6 +134,7 @@
     ) {
         if (data == null) items.remove(key) else items[key] = Item(data, at, lease)
         log.add(Logged(at, key, data))
+        onChange(key, data, at)
         changed.complete(Unit)
         changed = CompletableDeferred()
     }
--- /dev/null
+++ b/src/test/kotlin/mintfield/load/SharingLoad.kt
@@ -0,0 +1,241 @@
+package mintfield.load
+
+import kotlinx.coroutines.launch
+import mintfield.app.Outside
+import mintfield.app.sharing.MachineOrders
+import mintfield.core.model.Stage
+import mintfield.core.model.TaskId
+import mintfield.core.model.Team
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.ShareSettings
+import mintfield.core.ownership.SharingSettings
+import mintfield.history.Answer
+import mintfield.history.AssignmentWritten
+import mintfield.history.HistoryChecker
+import mintfield.history.OwnershipChecker
+import mintfield.history.TermBegun
+import mintfield.history.movesOf
+import mintfield.io.json.asMap
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.scope
+import mintfield.io.ownership.AssignmentCodec
+import mintfield.io.store.Keys
+import mintfield.standin.RecordedUsers
+import mintfield.standin.StateFault
+import mintfield.standin.TestCluster
+import mintfield.standin.TestNode
+import java.nio.channels.AsynchronousChannelGroup
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.random.Random
+
+/**
+ * Three controllers over loopback whose shares are shuffled every few seconds while users submit, ask and cancel, and controllers end, stand
+ * still and lose the state service. What was written, accepted and answered is recorded and judged at the end. Run by hand, see docs/sharing.md.
+ */
+private class SharingLoad(
+    private val runMs: Long,
+    private val machines: Int,
+    seed: Long,
+) {
+    private val random = Random(seed)
+    private val cluster = TestCluster()
+    private val members = listOf("plot-0", "plot-1", "plot-2")
+    private val sharing = SharingSettings(members.mapIndexed { i, home -> ShareSettings("s$i", home, listOf("team$i")) })
+    private val users = RecordedUsers(cluster.standIns)
+    private val assignments = ConcurrentLinkedQueue<AssignmentWritten>()
+    private val terms = ConcurrentLinkedQueue<TermBegun>()
+    private val tasksOf = ConcurrentHashMap<String, Int>()
+    private val cancelled = ConcurrentHashMap.newKeySet<String>()
+    private val jobNumber = AtomicInteger()
+    private val orders = AtomicInteger()
+    private val assignmentWrites = AtomicInteger()
+    private val troubles = HashMap<String, Int>()
+
+    @Volatile private var nodes: List<TestNode> = emptyList()
+
+    @Volatile private var over = false
+
+    fun run() {
+        cluster.start(machines, TASK_MS)
+        cluster.standIns.store.onChange = ::recorded
+        for ((block, numbers) in (0 until machines).groupBy { AssignmentTable.blockOf(named(it)) }) {
+            val content = numbers.associate { named(it) to Assignment.Owned("s${it % members.size}") }
+            cluster.standIns.store.plant(Keys.assignments(block), String(AssignmentCodec.write(content)))
+        }
+        nodes =
+            cluster.startSiblings(*members.toTypedArray()) { s ->
+                s.copy(
+                    teams = sharing.shares.map { Team(it.teams.single(), 0.0, 0.0, 0.0, 0.0) },
+                    operator = s.operator.copy(sharing = sharing),
+                    maxSockets = SOCKETS,
+                )
+            }
+        val from = System.nanoTime()
+        val traffic = List(USERS) { user -> thread(name = "user-$user") { useService(Random(user)) } }
+        val shuffling = thread { shuffle(Random(runMs)) }
+        while (System.nanoTime() - from < runMs * MS_NANOS) {
+            Thread.sleep(random.nextLong(TROUBLE_EVERY_MS / 2, TROUBLE_EVERY_MS * 3 / 2))
+            trouble()
+        }
+        over = true
+        (traffic + shuffling).forEach { it.join() }
+        cluster.faults.choose = { _, _ -> null }
+        nodes.forEach(cluster::awaitReady)
+        val left = finish()
+        report(left)
+        cluster.stop()
+    }
+
+    private fun named(number: Int) = "m-%06d".format(number)
+
+    private fun recorded(
+        key: String,
+        data: Any?,
+        revision: Long,
+    ) {
+        if (key.startsWith("mf/s/") && key.endsWith("/leader") && data != null) terms.add(TermBegun(key.split('/')[2], revision))
+        if (!key.startsWith(Keys.ASSIGNMENTS)) return
+        assignmentWrites.incrementAndGet()
+        val now = System.nanoTime()
+        AssignmentCodec.parse(data.asMap().orEmpty())!!.forEach { (machine, assignment) ->
+            assignments.add(AssignmentWritten(machine, assignment, revision, now))
+        }
+    }
+
+    // ---- what goes on ----
+
+    private fun useService(own: Random) {
+        while (!over) {
+            val id = "wk-%06d".format(jobNumber.incrementAndGet())
+            val tasks = own.nextInt(1, MOST_TASKS)
+            tasksOf[id] = tasks
+            val team = "team${own.nextInt(members.size)}"
+            until { users.submit(nodes.random(own), id, tasks, "sweep", team).get() != Answer.None }
+            if (own.nextInt(5) == 0) {
+                Thread.sleep(own.nextLong(100, 4_000))
+                cancelled.add(id)
+                until { users.abort(nodes.random(own), id).get() != Answer.None }
+            } else {
+                Thread.sleep(own.nextLong(100, 1_000))
+                users.poll(nodes.random(own), id).get()
+            }
+        }
+    }
+
+    private fun until(done: () -> Boolean) {
+        while (!done()) Thread.sleep(RETRY_MS)
+    }
+
+    private fun shuffle(own: Random) {
+        val loop = EventLoop().also { it.start() }
+        val ready = java.util.concurrent.CompletableFuture<MachineOrders>()
+        loop.post {
+            val settings = nodes.first().settings.copy(stateAddress = "127.0.0.1:${cluster.standIns.storePort}")
+            ready.complete(MachineOrders(sharing, Outside(settings, loop, AsynchronousChannelGroup.withThreadPool(loop.executor)).store))
+        }
+        val machineOrders = ready.get()
+        while (!over) {
+            Thread.sleep(own.nextLong(SHUFFLE_MS / 2, SHUFFLE_MS * 3 / 2))
+            repeat(machines / 10) {
+                val machine = named(own.nextInt(machines))
+                val target = "s${own.nextInt(members.size)}"
+                loop.post { loop.scope().launch { if (own.nextInt(12) == 0) machineOrders.cancel(machine) else machineOrders.move(machine, target) } }
+                orders.incrementAndGet()
+            }
+        }
+        loop.stop()
+    }
+
+    private fun trouble() {
+        val victim = nodes.random(random)
+        val kind = listOf("ended", "stood still", "cut from the state service", "refused by the state service").random(random)
+        troubles.merge(kind, 1, Int::plus)
+        when (kind) {
+            "ended" -> nodes = nodes.map { if (it === victim) cluster.restart(victim) else it }
+            "stood still" -> victim.standStill(random.nextLong(500, 8_000))
+            else -> {
+                val fault = if (kind.startsWith("cut")) StateFault.LostRequest else StateFault.Refused(503)
+                cluster.faults.choose = { client, _ -> if (client == victim.member) fault else null }
+                Thread.sleep(random.nextLong(1_000, 12_000))
+                cluster.faults.choose = { _, _ -> null }
+            }
+        }
+    }
+
+    // ---- what is judged ----
+
+    /** Waits until every job has its final state; returns those that have none. */
+    private fun finish(): List<String> {
+        var open = tasksOf.keys.toList()
+        val until = System.nanoTime() + FINISH_MS * MS_NANOS
+        while (open.isNotEmpty() && System.nanoTime() < until) {
+            open = open.filter { id -> (users.poll(nodes.random(random), id).get() as? Answer.Told)?.stage !in FINAL }
+            Thread.sleep(RETRY_MS)
+        }
+        return open
+    }
+
+    private fun report(left: List<String>) {
+        val accepted = cluster.standIns.accepted.toList()
+        val written = assignments.toList()
+        val violations = HistoryChecker(::completed).check(users.history)
+        val ownership = OwnershipChecker(written, terms.toList()).check(accepted)
+        val moves = movesOf(written, accepted)
+        val halts = accepted.flatMap { it.halted }.filter { it !in cancelled }
+        val started = cluster.standIns.workers.flatMap { it.started }
+        val unique = started.toSet()
+        println("${runMs / 1000} s, $machines machines, ${tasksOf.size} jobs, ${unique.size} tasks started; troubles: $troubles")
+        println("  jobs without a final state: ${left.size} ${left.take(5)}; users' history: ${violations.size} findings ${violations.take(3)}")
+        println("  ownership: ${ownership.size} findings ${ownership.take(3)}")
+        println(
+            "  orders ${orders.get()}, moves ${moves.size}; assignment writes ${assignmentWrites.get()}, %.2f a move".format(
+                assignmentWrites.get() * 1.0 / moves.size,
+            ),
+        )
+        println("  order to adoption, ms: ${spread(moves.map { it.adoptedNanos - it.orderedNanos })}")
+        println("  offered to adopted, ms: ${spread(moves.map { it.adoptedNanos - it.offeredNanos })}")
+        println("  offered to the first command of the new owner, ms: ${spread(moves.mapNotNull { m -> m.heardNanos?.let { it - m.offeredNanos } })}")
+        println("  attempts beyond one a task: ${started.size - unique.size}; tasks stopped though not cancelled: ${halts.size}")
+        println(
+            "  leases that ended: ${cluster.standIns.workers.sumOf {
+                it.sim.season - 1
+            }}, tasks lost with them: ${cluster.standIns.workers.sumOf { it.sim.killed }}",
+        )
+        OwnershipReport(written, moves, members.indices.map { "s$it" }).write("target/load/sharing.html")
+    }
+
+    private fun completed(id: String): Long? {
+        val times = (0 until tasksOf.getValue(id)).map { cluster.standIns.completedNanos[TaskId(id, it)] ?: return null }
+        return times.max()
+    }
+
+    private fun spread(nanos: List<Long>): String {
+        val sorted = nanos.sorted().map { it / MS_NANOS }
+        if (sorted.isEmpty()) return "none"
+        return "min ${sorted.first()}, median ${sorted[sorted.size / 2]}, p99 ${sorted[sorted.size * 99 / 100]}, max ${sorted.last()}"
+    }
+
+    private companion object {
+        val FINAL = setOf(Stage.DONE, Stage.WITHDRAWN)
+        const val MS_NANOS = 1_000_000L
+        const val TASK_MS = 4_000L
+        const val USERS = 8
+        const val MOST_TASKS = 12
+        const val SHUFFLE_MS = 3_000L
+        const val TROUBLE_EVERY_MS = 15_000L
+        const val RETRY_MS = 300L
+        const val FINISH_MS = 120_000L
+        const val SOCKETS = 1_000
+    }
+}
+
+/** Arguments: seconds to run, number of machines, seed. */
+fun main(args: Array<String>) {
+    java.io.File("target/load").mkdirs()
+    SharingLoad(args.getOrElse(0) { "600" }.toLong() * 1000, args.getOrElse(1) { "60" }.toInt(), args.getOrElse(2) { "1" }.toLong()).run()
+    kotlin.system.exitProcess(0)
+}
