--- a/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
@@ -33,7 +33,7 @@
 data class ShareStatus(
     val name: String,
     val leader: String?,
-    val machines: Int,
+    val machines: List<String>,
 )
 
 /** What operators see of the machines and their owners. */
@@ -51,7 +51,7 @@
     suspend fun status(): OwnershipStatus? {
         val table = read() ?: return null
         val leaders = leaders() ?: return null
-        return OwnershipStatus(settings.shares.map { ShareStatus(it.name, leaders[it.name], table.count(it.name)) }, table.moving.toMap())
+        return OwnershipStatus(settings.shares.map { ShareStatus(it.name, leaders[it.name], table.machines(it.name)) }, table.moving.toMap())
     }
 
     /** Orders the move of [machine] to the share [target]. */
--- a/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -4,6 +4,7 @@
 import mintfield.app.Outside
 import mintfield.core.model.Settings
 import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.Refusal
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.scope
 import java.nio.channels.AsynchronousChannelGroup
@@ -19,6 +20,7 @@
         if (settings.operator.sharing == null) return refused("machines are not shared: the operators' file has no block sharing")
         return when {
             words == listOf("show") -> onLoop { show(it) }
+            words.size == 2 && words[0] == "show" -> onLoop { show(it, words[1]) }
             words.size == 3 && words[0] == "move" -> onLoop { told(it.move(words[1], words[2])) }
             words.size == 2 && words[0] == "cancel" -> onLoop { told(it.cancel(words[1])) }
             else -> null
@@ -38,11 +40,21 @@
 
     private suspend fun show(orders: MachineOrders): Int {
         val status = orders.status() ?: return unavailable()
-        status.shares.forEach { print("${it.name}: ${it.machines} machines, led by ${it.leader ?: "nobody"}") }
+        status.shares.forEach { print("${it.name}: ${it.machines.size} machines, led by ${it.leader ?: "nobody"}") }
         status.moves.forEach { (machine, move) -> print("$machine: ${describe(move)}") }
         return DONE
     }
 
+    private suspend fun show(
+        orders: MachineOrders,
+        share: String,
+    ): Int {
+        val status = orders.status() ?: return unavailable()
+        val shown = status.shares.firstOrNull { it.name == share } ?: return refused("refused: ${Refusal.UNKNOWN_SHARE.reason}")
+        MachineRanges(shown.machines).describe().forEach(print)
+        return DONE
+    }
+
     private fun describe(move: Assignment) =
         when (move) {
             is Assignment.Owned -> "owned by ${move.owner}"
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -460,8 +460,9 @@
     /** Milliseconds that a controller waits before it stands for a share whose home is another: an election of the home takes less. */
     const val HOME_FIRST_MS = 600L
 
-    /** Blocks of the table of assignments. With 4,000 machines one holds some 63 of them, 3 KB of a value of 8 KiB at the least. */
-    const val ASSIGNMENT_BLOCKS = 64
+    /** Blocks of the table of assignments. With 4,000 machines one holds some 31 of them; the fullest, with all of them moving, takes
+     *  less than a value of 8 KiB. Not to be changed while a table exists. */
+    const val ASSIGNMENT_BLOCKS = 128
 
     /** Changes of assignments in one transaction: a conflict in one block fails them all. */
     const val ASSIGNMENT_CHANGES_AT_ONCE = 8
--- a/src/main/kotlin/mintfield/core/fleet/GuestTasks.kt
+++ b/src/main/kotlin/mintfield/core/fleet/GuestTasks.kt
@@ -16,6 +16,9 @@
     /** Its leader wants it to stop. */
     var haltWanted = false
 
+    /** When it was first told to stop, in steady milliseconds; 0 if it was not. */
+    var haltedSinceMs = 0L
+
     /** Its leader has recorded its end, so that the worker may forget it. */
     var clearWanted = false
 }
@@ -33,6 +36,9 @@
     /** Whether none takes room. */
     val isEmpty: Boolean get() = tasks.values.all { it.ended }
 
+    /** A task that was told to stop before [beforeMs] and has not ended. */
+    fun unstopped(beforeMs: Long): GuestTask? = tasks.values.firstOrNull { !it.ended && it.haltedSinceMs in 1 until beforeMs }
+
     operator fun get(task: TaskId): GuestTask? = tasks[task]
 
     /** Replaces what was known by what a newer report shows; what is wanted of a task that is still there stays wanted. */
@@ -42,6 +48,7 @@
             val before = tasks[guest.reported.task]?.takeIf { it.reported.attempt == guest.reported.attempt } ?: continue
             guest.haltWanted = before.haltWanted
             guest.clearWanted = before.clearWanted
+            guest.haltedSinceMs = before.haltedSinceMs
         }
         tasks.clear()
         found.associateByTo(tasks) { it.reported.task }
--- a/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/ReportHandler.kt
@@ -244,7 +244,10 @@
                 seen.add(t.task)
                 when {
                     guest.ended -> if (checkin && guest.clearWanted) clears.add(Order.Clear(t.task, t.attempt))
-                    guest.haltWanted || withdrawn(t.task.job) -> halts.add(Order.Halt(t.task, t.attempt, 0.0))
+                    guest.haltWanted || withdrawn(t.task.job) -> {
+                        if (guest.haltedSinceMs == 0L) guest.haltedSinceMs = nowMs
+                        halts.add(Order.Halt(t.task, t.attempt, 0.0))
+                    }
                 }
                 continue
             }
--- a/src/main/kotlin/mintfield/core/ownership/Assignment.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Assignment.kt
@@ -41,6 +41,7 @@
     UNKNOWN_MACHINE("unknown machine"),
     UNREADABLE("its assignment cannot be read"),
     UNKNOWN_SHARE("unknown share"),
+    UNKNOWN_OWNER("its owner is no share of the settings; it is left alone"),
     ALREADY_OWNED("the target owns it already"),
     ALREADY_MOVING("it is already moving"),
     ALREADY_ASSIGNED("it is assigned already"),
--- a/src/main/kotlin/mintfield/core/ownership/AssignmentTable.kt
+++ b/src/main/kotlin/mintfield/core/ownership/AssignmentTable.kt
@@ -49,6 +49,9 @@
     /** The machines that have an assignment. */
     val assigned: Set<String> get() = entries.keys
 
+    /** The machines that [share] owns, those that it is letting go included. */
+    fun machines(share: String): List<String> = entries.filterValues { it.assignment.entitles(share) }.keys.toList()
+
     /** How many machines [share] owns, those that it is letting go included. */
     fun count(share: String): Int = entries.values.count { it.assignment.entitles(share) }
 
--- a/src/main/kotlin/mintfield/core/ownership/Handover.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Handover.kt
@@ -26,6 +26,7 @@
         when {
             current == null -> refuse(Refusal.UNKNOWN_MACHINE)
             !shares.isKnown(target) -> refuse(Refusal.UNKNOWN_SHARE)
+            !shares.isKnown(current.owner) -> refuse(Refusal.UNKNOWN_OWNER)
             current !is Owned -> refuse(Refusal.ALREADY_MOVING)
             current.owner == target -> refuse(Refusal.ALREADY_OWNED)
             !shares.isLive(target) -> refuse(Refusal.TARGET_NOT_LIVE)
--- a/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
+++ b/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
@@ -127,7 +127,8 @@
         machine: String,
         nowMs: Long,
     ): Boolean {
-        if (ownership.isLettingGo(machine)) return false
+        // Of a machine that is gone nothing is left to hand over but its assignment, and that ends.
+        if (ownership.isLettingGo(machine) || machine in toDrop) return false
         val m = cluster.machines[machine] ?: return true
         if (m.state == MachineState.CONDEMNED || m.state == MachineState.RETURNING || scheduler.disowning.isDisowned(machine)) return false
         m.attempts.filter { it.state == AttemptState.PLANNED && !it.everSent }.forEach { cluster.stop(it, nowMs, "its machine is handed over") }
--- /dev/null
+++ b/src/test/kotlin/mintfield/ownership/HandoverTest.kt
@@ -0,0 +1,335 @@
+package mintfield.ownership
+
+import mintfield.Fixtures
+import mintfield.core.CommitResult
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.model.EndCause
+import mintfield.core.model.Order
+import mintfield.core.model.ReportedState
+import mintfield.core.model.Team
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.Assignment.Offered
+import mintfield.core.ownership.Assignment.Owned
+import mintfield.core.ownership.Assignment.Releasing
+import mintfield.core.ownership.AssignmentBlock
+import mintfield.core.ownership.AssignmentChange.Kind
+import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.AssignmentTransaction
+import mintfield.core.ownership.AwayTasks
+import mintfield.core.ownership.GuestAnswer
+import mintfield.core.ownership.GuestDesk
+import mintfield.core.ownership.Handover
+import mintfield.core.ownership.HandoverAgent
+import mintfield.core.ownership.KnownAssignment
+import mintfield.core.ownership.Refusal
+import mintfield.core.ownership.ShareOwnership
+import mintfield.core.ownership.Shares
+import mintfield.core.ownership.Step
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Moves of one machine, step by step, where something meets them. */
+class HandoverTest {
+    private val machine = "m-1"
+    private val settings = Fixtures.settings.copy(teams = listOf(Team("a-team", 0.0, 0.0, 0.0, 0.0), Team("b-team", 0.0, 0.0, 0.0, 0.0)))
+    private val live = HashSet(listOf("a", "b"))
+    private val shares =
+        object : Shares {
+            override fun isKnown(share: String) = share in setOf("a", "b")
+
+            override fun isLive(share: String) = share in live
+
+            override fun maySpare(share: String) = true
+        }
+    private var now = 1_000L
+    private var revision = 100L
+    private val job = Fixtures.accepted(Fixtures.spec("wk-1", tasks = 2, team = "a-team"), 5)
+    private val withdrawn = HashSet<String>()
+
+    /** The leader of a share, with what it needs for moves. */
+    private inner class Lead(
+        share: String,
+        term: Long = ++revision,
+    ) {
+        val table = AssignmentTable()
+        val ownership = ShareOwnership(share, table) { if (it == job.spec.id && share != "a") job.spec else null }
+        val scheduler = Scheduler(settings, term, { it in withdrawn }, ownership) { }
+        val agent = HandoverAgent(ownership, table, scheduler, shares, claimsOwnerless = share == "a") { }
+        val away = AwayTasks(scheduler)
+        val desk = GuestDesk(scheduler)
+
+        init {
+            show(this)
+            scheduler.types(listOf(Fixtures.box), now)
+            scheduler.disowning.read = true
+            if (share == "a") scheduler.jobChanged(job, now)
+            scheduler.replayDone(now)
+        }
+
+        fun report(
+            tally: Long,
+            term: Long,
+            vararg tasks: mintfield.core.model.ReportedTask,
+            season: Long = 1,
+        ) = scheduler.report(Fixtures.report(machine, tally, term, *tasks, season = season), true, now)
+
+        fun kinds(): List<Kind> =
+            agent
+                .next(now)
+                ?.also { pending = it }
+                ?.changes
+                .orEmpty()
+                .map { it.kind }
+
+        fun carryOut() {
+            val transaction = pending!!
+            revision++
+            transaction.changes.forEach { truth = it.next }
+            agent.applied(transaction, revision, now)
+        }
+
+        private var pending: AssignmentTransaction? = null
+    }
+
+    private var truth: Assignment? = Owned("a")
+
+    private fun show(lead: Lead) {
+        lead.table.apply(AssignmentTable.blockOf(machine), AssignmentBlock(revision, truth?.let { mapOf(machine to it) }.orEmpty()))
+        lead.table.caughtUp(revision)
+    }
+
+    private fun order(
+        step: Step,
+        vararg leads: Lead,
+    ) {
+        truth = (step as Step.To).next
+        revision++
+        leads.forEach(::show)
+    }
+
+    /** A leader of a with the job's two tasks at work on the machine. */
+    private fun running(): Lead {
+        val a = Lead("a")
+        a.report(1, 0)
+        a.report(2, a.scheduler.cluster.term)
+        now += 1_000
+        val commit = a.scheduler.nextCommit(now, now, 16)!!
+        a.scheduler.committed(commit, CommitResult.Done(++revision), now)
+        a.report(3, a.scheduler.cluster.term)
+        val attempts =
+            a.scheduler.cluster.machines
+                .getValue(machine)
+                .attempts
+        assertEquals(2, attempts.size)
+        a.report(4, a.scheduler.cluster.term, *tasks(a, ReportedState.RUNNING))
+        return a
+    }
+
+    private fun tasks(
+        a: Lead,
+        state: ReportedState,
+        cause: EndCause? = null,
+    ) = a.scheduler.cluster.jobs
+        .getValue("wk-1")
+        .activeAttempts
+        .map { Fixtures.task("wk-1/${it.index}", it.number, state, cause) }
+        .toTypedArray()
+
+    /** Moves the machine from a to b, up to the adoption. */
+    private fun moved(a: Lead): Lead {
+        order(Handover.order(truth, "b", shares), a)
+        assertEquals(listOf(Kind.RELEASE), a.kinds())
+        a.carryOut()
+        val b = Lead("b")
+        assertEquals(listOf(Kind.ADOPT), b.kinds())
+        b.carryOut()
+        show(a)
+        return b
+    }
+
+    private fun ask(
+        a: Lead,
+        b: Lead,
+    ): GuestAnswer {
+        now += 1_000
+        val query = a.away.due(now).single()
+        return b.desk.answer(query, now).also { a.away.answered(query, it, now) }
+    }
+
+    private fun orders(answer: ReportAnswer) = (answer as ReportAnswer.Orders).orders
+
+    @Test
+    fun `tasks run on through a move, and their end reaches their job's leader once`() {
+        val a = running()
+        val running = tasks(a, ReportedState.RUNNING)
+        val b = moved(a)
+        assertEquals(ReportAnswer.OwnedByAnother, a.report(5, 0))
+        assertEquals(GuestAnswer.NotHeardYet, ask(a, b))
+        assertTrue(orders(b.report(5, a.scheduler.cluster.term, *running)).isEmpty())
+        val token = (b.report(6, a.scheduler.cluster.term, *running) as ReportAnswer.Orders).term
+        assertTrue(token > a.scheduler.cluster.term)
+        b.report(7, token, *running)
+        assertEquals(
+            2.0,
+            b.scheduler.cluster.machines
+                .getValue(machine)
+                .guests.cpus,
+        )
+        assertTrue(ask(a, b) is GuestAnswer.Told)
+        val ended = running.map { it.copy(state = ReportedState.ENDED, cause = EndCause.DONE) }.toTypedArray()
+        assertTrue(orders(b.report(8, token, *ended)).isEmpty(), "a result is kept until it is recorded")
+        ask(a, b)
+        assertTrue(
+            a.scheduler.cluster.jobs
+                .getValue("wk-1")
+                .allDone,
+        )
+        val commit = a.scheduler.nextCommit(now + 5_000, now, 16)!!
+        a.scheduler.committed(commit, CommitResult.Done(++revision), now)
+        ask(a, b)
+        assertEquals(2, orders(b.report(9, token, *ended)).filterIsInstance<Order.Clear>().size)
+    }
+
+    @Test
+    fun `a job that is cancelled between release and adoption is halted by the new owner`() {
+        val a = running()
+        val running = tasks(a, ReportedState.RUNNING)
+        order(Handover.order(truth, "b", shares), a)
+        a.kinds()
+        a.carryOut()
+        withdrawn.add("wk-1")
+        a.scheduler.withdrawnElsewhere("wk-1", now)
+        val b = Lead("b")
+        b.kinds()
+        b.carryOut()
+        assertEquals(2, orders(b.report(5, 0, *running)).filterIsInstance<Order.Halt>().size)
+    }
+
+    @Test
+    fun `a new season frees what was there`() {
+        val a = running()
+        val b = moved(a)
+        b.report(5, 0, season = 2)
+        b.report(6, b.ownership.epoch(machine), season = 2)
+        assertEquals(GuestAnswer.Told(emptyList()), ask(a, b))
+        assertEquals(
+            2,
+            a.scheduler.cluster.jobs
+                .getValue("wk-1")
+                .waitingCount,
+        )
+    }
+
+    @Test
+    fun `tasks on a machine whose assignment has ended are free`() {
+        val a = running()
+        moved(a)
+        truth = null
+        revision++
+        show(a)
+        a.agent.next(now)
+        assertEquals(
+            2,
+            a.scheduler.cluster.jobs
+                .getValue("wk-1")
+                .waitingCount,
+        )
+    }
+
+    @Test
+    fun `a machine that is being returned is not handed over, and its assignment ends with it`() {
+        val a = running()
+        a.scheduler.fleet.condemn(
+            a.scheduler.cluster.machines
+                .getValue(machine),
+            now,
+            "drained",
+        )
+        order(Handover.order(truth, "b", shares), a)
+        assertEquals(emptyList<Kind>(), a.kinds())
+        a.scheduler.fleet.returned(listOf(machine), now)
+        assertEquals(listOf(Kind.DROP), a.kinds())
+        a.carryOut()
+        assertNull(truth)
+    }
+
+    @Test
+    fun `a successor of the owner goes on with a move from what the table says`() {
+        val a = running()
+        order(Handover.order(truth, "b", shares), a)
+        val successor = Lead("a")
+        assertEquals(listOf(Kind.RELEASE), successor.kinds())
+        successor.carryOut()
+        assertEquals(Offered("a", "b"), truth)
+        assertEquals(listOf(Kind.ADOPT), Lead("b").kinds())
+    }
+
+    @Test
+    fun `an offer to a share without a leader is taken back, and its owner's token has grown`() {
+        val a = running()
+        val before = a.scheduler.cluster.term
+        order(Handover.order(truth, "b", shares), a)
+        a.kinds()
+        a.carryOut()
+        live.remove("b")
+        assertEquals(emptyList<Kind>(), a.kinds())
+        now += 9_000
+        assertEquals(listOf(Kind.TAKE_BACK), a.kinds())
+        a.carryOut()
+        assertEquals(Owned("a"), truth)
+        assertTrue((a.report(5, before, *tasks(a, ReportedState.RUNNING)) as ReportAnswer.Orders).term > before)
+    }
+
+    @Test
+    fun `a release without an answer stops the owner until its term has risen and the table has been read`() {
+        val a = running()
+        order(Handover.order(truth, "b", shares), a)
+        val transaction = a.agent.next(now)!!
+        a.agent.unanswered(transaction)
+        assertEquals(ReportAnswer.OwnedByAnother, a.report(5, 0))
+        assertNull(a.agent.next(now))
+        a.scheduler.raised(++revision, now)
+        assertNull(a.agent.next(now), "the table is older than the term")
+        show(a)
+        assertEquals(listOf(Kind.RELEASE), a.kinds())
+    }
+
+    @Test
+    fun `of two orders at once one is refused, and a third controller may take an order back at any time before the adoption`() {
+        assertEquals(Step.Refused(Refusal.ALREADY_MOVING), Handover.order(Releasing("a", "b"), "b", shares))
+        assertEquals(Step.To(Owned("a")), Handover.cancel(Releasing("a", "b")))
+        assertEquals(Step.To(Owned("a")), Handover.cancel(Offered("a", "b")))
+        assertEquals(Step.Refused(Refusal.NOT_MOVING), Handover.cancel(Owned("b")))
+        assertEquals(Step.Refused(Refusal.UNKNOWN_MACHINE), Handover.order(null, "b", shares))
+        assertEquals(Step.Refused(Refusal.UNKNOWN_SHARE), Handover.order(Owned("a"), "x", shares))
+        assertEquals(Step.Refused(Refusal.UNKNOWN_OWNER), Handover.order(Owned("x"), "b", shares))
+        live.remove("b")
+        assertEquals(Step.Refused(Refusal.TARGET_NOT_LIVE), Handover.order(Owned("a"), "b", shares))
+        assertEquals(Step.Refused(Refusal.NOT_ITS_TARGET), Handover.adopt(Offered("a", "b"), "a"))
+        assertEquals(Step.Refused(Refusal.NOT_ITS_OWNER), Handover.release(Releasing("a", "b"), "b"))
+        assertEquals(Step.Refused(Refusal.ALREADY_ASSIGNED), Handover.claim(Owned("a"), "b"))
+    }
+
+    @Test
+    fun `a block that cannot be read leaves its machines alone and is not rewritten`() {
+        val a = running()
+        a.table.apply(AssignmentTable.blockOf(machine), AssignmentBlock(++revision, null))
+        a.table.caughtUp(revision)
+        assertEquals(KnownAssignment.Unknown, a.table.of(machine))
+        assertFalse(a.ownership.owns(machine) || a.ownership.isGone(machine))
+        assertEquals(ReportAnswer.OwnedByAnother, a.report(5, 0))
+        assertNull(a.table.blockWith(machine, Owned("b")))
+        a.scheduler.listed(emptyList(), false, now)
+        assertNull(a.agent.next(now))
+        assertEquals(
+            2,
+            a.scheduler.cluster.jobs
+                .getValue("wk-1")
+                .activeAttempts.size,
+        )
+    }
+}
--- a/src/test/kotlin/mintfield/ownership/SharedServiceTest.kt
+++ b/src/test/kotlin/mintfield/ownership/SharedServiceTest.kt
@@ -100,6 +100,8 @@
     fun `the command shows owners and refuses by reason`() {
         start(machines = 3, taskMs = 3_000)
         assertEquals(0 to "s0: 1 machines, led by plot-0\ns1: 1 machines, led by plot-1\ns2: 1 machines, led by plot-2", command("show"))
+        assertEquals(0 to named(1), command("show", "s1"))
+        assertEquals(1 to "refused: unknown share", command("show", "s9"))
         assertEquals(1 to "refused: unknown machine", command("move", "m-9", "s1"))
         assertEquals(1 to "refused: unknown share", command("move", named(0), "s9"))
         assertEquals(1 to "refused: the target owns it already", command("move", named(0), "s0"))
