--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -83,6 +83,11 @@
 
     fun resign(why: String) = deposed(why)
 
+    /** Ends the lease on which the leader key hangs; to be called after it has resigned. */
+    suspend fun endLease() {
+        store.endLease(lease)
+    }
+
     private val directReturn = DirectReportReturn(scheduler.cluster.timings.relayAfterMs)
 
     /** Whether the worker was heard by this leader before: one that was not had better be answered first. */
--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -27,7 +27,8 @@
 private const val WARM_UP = "warm-up"
 private const val MACHINES = "machines"
 
-private const val USAGE = "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] | machines move MACHINE SHARE | machines cancel MACHINE"
+private const val USAGE =
+    "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] | machines move MACHINE SHARE | machines cancel MACHINE"
 private const val COMMANDS =
     "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it; " +
         "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back"
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -163,6 +163,14 @@
         announce()
     }
 
+    /** Gives the lead to whoever stands first, without waiting for the lease to end. */
+    suspend fun handBack(why: String) {
+        val mine = leader ?: return
+        mine.resign(why)
+        // Only now: from here on the next one may lead at any moment.
+        mine.endLease()
+    }
+
     private fun depose(
         terms: CoroutineScope,
         why: String,
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -5,20 +5,17 @@
 import mintfield.app.sharing.ShareLeader
 import mintfield.app.sharing.SharingNode
 import mintfield.core.FleetRoom
-import mintfield.core.ReportAnswer
 import mintfield.core.SocketBounds
-import mintfield.core.Timings
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.CancellationLog
 import mintfield.core.leadership.CancellationPage
-import mintfield.core.leadership.IsolatedLeaderProbe
-import mintfield.core.leadership.SiblingRedirects
-import mintfield.core.leadership.SilentSiblingRelay
 import mintfield.core.model.Settings
 import mintfield.core.model.fittingTypes
 import mintfield.core.ownership.GuestAnswer
 import mintfield.core.ownership.GuestQuery
+import mintfield.core.ownership.HomeReturn
+import mintfield.core.ownership.shortCpus
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.HttpServer
 import mintfield.io.http.Response
@@ -30,7 +27,6 @@
 import mintfield.io.loop.scope
 import mintfield.io.ownership.GuestCodec
 import mintfield.io.peer.PeerLink
-import mintfield.io.worker.WorkerCodec
 import java.nio.channels.AsynchronousChannelGroup
 import kotlin.random.Random
 
@@ -53,10 +49,7 @@
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
     private val peers = PeerLink(loop, scope, settings, outside, this)
     private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, cancellations::telling) { peers.storeCut() }
-    private val rounds = IsolatedLeaderProbe(Timings(settings).sendOnMs)
-    private val siblingRedirects = SiblingRedirects()
-    private val parking = SilentSiblingRelay(settings.siblings.map { it.member } + settings.member, settings.member)
-    private val reader = WorkerCodec.Reader(maxOf(settings.maxSockets, settings.operator.fleetMachines ?: 0))
+    private val reports = WorkerReports(loop, settings, peers, leaderships)
     private val bounds = SocketBounds(settings)
     private val clientServer = HttpServer(loop, scope, group, bounds.incoming, ::client)
 
@@ -79,6 +72,7 @@
             changes.onCrowded = ::siblingCrowded
             sharing?.let { scope.launch { it.assignments.follow() } }
             leaderships.members.forEach { scope.launch { it.run() } }
+            if (sharing != null) scope.launch { returnShares() }
             scope.launch { prepare() }
             scope.launch { lookForStore() }
             scope.launch { watchOver() }
@@ -116,6 +110,19 @@
         while (!view.loaded) if (!view.current()) delay(Tuning.STORE_RETRY_MS)
     }
 
+    /** Gives shares that this controller took over back to their homes. */
+    private suspend fun returnShares() {
+        val homeReturn = HomeReturn(settings.member)
+        while (true) {
+            delay(Tuning.WATCH_MS)
+            for (member in leaderships.members) {
+                val share = member.share ?: continue
+                if (member.leader == null || !homeReturn.due(share, peers.upAndServed(share.home), loop.nowMs())) continue
+                member.handBack("${share.home} is up, the home of ${share.name}")
+            }
+        }
+    }
+
     /** While the store cannot be reached users are refused without asking it; so something else must notice its return. */
     private suspend fun lookForStore() {
         while (true) {
@@ -133,7 +140,7 @@
             delay(Tuning.WATCH_MS)
             val lost = loop.nowMs() - from - Tuning.WATCH_MS
             if (lost > Tuning.STOOD_STILL_MS) Log.info("this controller stood still for $lost ms")
-            val now = if (leaderships.leaders.isNotEmpty()) parkedAt() else null
+            val now = if (leaderships.leaders.isNotEmpty()) reports.parkedAt() else null
             if (now != place) {
                 place = now
                 Log.info(if (now != null) "the controller after this one is silent: workers report to $now" else "workers may report here again")
@@ -147,7 +154,7 @@
     private suspend fun client(request: HttpMessage): Response {
         val path = request.second
         return when {
-            path == "/checkin" -> only("POST", request) { shortWhenCrowded(checkin(request)) }
+            path == "/checkin" -> only("POST", request) { shortWhenCrowded(reports.checkin(request.body)) }
             path == "/ready" -> only("GET", request) { ready() }
             path.startsWith("/v1/jobs") -> peers.relayUser(request) ?: user(request)
             else -> Response.error(404, "no such path")
@@ -197,117 +204,13 @@
             else -> Response(200, Json.obj { writeBooleanField("ready", true) })
         }
 
-    private suspend fun checkin(request: HttpMessage): Response {
-        val member = leaderships.forReport(request.body) ?: return Response(421, Json.obj { })
-        val leader = member.leader ?: return elsewhere(member, request)
-        if (isolated(leader)) {
-            val report = reader.report(request.body) ?: return Response.error(400, "not a report")
-            if (rounds.sendOn(report.machine, loop.nowMs())) return Response(421, Json.obj { })
-        }
-        return answer(leader, request.body, direct = true)
-    }
-
-    /** Where workers are to report while the controller that they would try after this one is silent. */
-    private fun parkedAt(): String? = parking.place(peers::silent, peers::heardNow)
-
-    /**
-     * A leader past its lease goes on answering in an outage, so that the workers keep theirs. One that reaches neither
-     * the store nor a sibling may be cut off alone: then its answers hold workers that a successor waits for.
-     */
-    private fun isolated(leader: Leader) = leader.leaseLeftMs() < -Tuning.ISOLATED_MS && peers.storeSilent() && !peers.heardAny()
-
-    private suspend fun answer(
-        leader: Leader,
-        body: ByteArray,
-        direct: Boolean = false,
-    ): Response {
-        val report = reader.report(body) ?: return Response.error(400, "not a report")
-        if (direct) {
-            leader.heardDirectly(report)
-            val place = parkedAt()
-            if (place != null && leader.knows(report) && parking.send(report.machine, leader.relayedBefore(report), loop.nowMs())) {
-                return Response(421, Json.obj { writeStringField("steward", place) })
-            }
-        }
-        return when (val answer = leader.report(report, relayed = !direct, parked = parkedAt() != null)) {
-            ReportAnswer.Deposed -> {
-                leader.resign("${report.machine} has seen term ${report.termSeen}")
-                Response(421, Json.obj { })
-            }
-
-            ReportAnswer.Unrenewed, ReportAnswer.OwnedByAnother -> {
-                Response(421, Json.obj { })
-            }
-
-            ReportAnswer.NotNow -> {
-                Response(503, Json.obj { })
-            }
-
-            is ReportAnswer.Orders -> {
-                // It may have given up while the report waited.
-                if (leader !in leaderships.leaders) return Response(421, Json.obj { })
-                leader.kick()
-                Response(200, WorkerCodec.orders(answer.term, null, answer.orders))
-            }
-        }
-    }
-
-    /** Not the leader: the report goes on to it, and its answer back; it says if the worker should come directly. */
-    private suspend fun elsewhere(
-        member: Member,
-        request: HttpMessage,
-    ): Response {
-        val leader = member.known?.takeIf { it != settings.member } ?: return Response(421, Json.obj { })
-        if (peers.relaysCrowded(leader)) return Response(421, Json.obj { writeStringField("steward", leader) })
-        val sentAt = loop.nowMs()
-        val answer = peers.relay(leader, request.body) ?: return afterSilence(member, leader, request, sentAt)
-        return if (answer.status == 421) Response(421, Json.obj { writeStringField("steward", leader) }) else Response(answer.status, answer.body)
-    }
-
-    /**
-     * The leader did not answer. If all other controllers are silent the worker would lose its lease at them, and there is
-     * about to be a new leader, most likely here.
-     */
-    private suspend fun afterSilence(
-        member: Member,
-        leader: String,
-        request: HttpMessage,
-        sentAtMs: Long,
-    ): Response {
-        val alone = settings.siblings.none { it.member != leader && !peers.silent(it.member) }
-        while (alone && loop.nowMs() - sentAtMs < Tuning.PARKED_PATIENCE_MS) {
-            member.leader?.let { return answer(it, request.body) }
-            val known = member.known
-            if (known != null && known != leader && known != settings.member) {
-                return peers.relay(known, request.body)?.takeIf { it.status != 421 }?.let { Response(it.status, it.body) } ?: break
-            }
-            delay(Tuning.PARKED_STEP_MS)
-        }
-        return detour(leader, request)
-    }
-
-    /** Naming a leader that cannot be reached from here would cost the worker seconds of its lease; another sibling may help. */
-    private fun detour(
-        leader: String,
-        request: HttpMessage,
-    ): Response {
-        val report = reader.report(request.body) ?: return Response.error(400, "not a report")
-        val to = siblingRedirects.offer(report.machine, peers.heardBesides(leader), loop.nowMs())
-        return Response(421, Json.obj { to?.let { writeStringField("steward", it) } })
-    }
-
     override suspend fun relayedUser(
         method: String,
         path: String,
         body: ByteArray,
     ) = user(HttpMessage(method, path, "HTTP/1.1", emptyMap(), body))
 
-    override suspend fun relayed(body: ByteArray): Response {
-        val leader = leaderships.forReport(body)?.leader ?: return Response(503, Json.obj { })
-        val report = reader.report(body) ?: return Response.error(400, "not a report")
-        if (parkedAt() == null && leader.comesDirectly(report)) return Response(421, Json.obj { })
-        return answer(leader, body)
-    }
+    override suspend fun relayed(body: ByteArray) = reports.relayed(body)
 
     override fun leadingTerms() = leaderships.terms()
 
@@ -323,6 +226,19 @@
         term: Long,
     ) = leaderships.siblingLeads(member, share, term)
 
+    override fun shortCpus(share: String): Double {
+        val leader = leaderships.member(share)?.leader ?: return 0.0
+        // Leaders of other shares in this process learn it here, as siblings do by the note.
+        return shortCpus(leader.scheduler.cluster).also { siblingShort(share, it) }
+    }
+
+    override fun siblingShort(
+        share: String,
+        cpus: Double,
+    ) {
+        sharing?.shortageTold(share, cpus, loop.nowMs())
+    }
+
     override fun guestsAsked(body: ByteArray): ByteArray? {
         val (share, queries) = GuestCodec.parseQuestions(body) ?: return null
         return leaderships
--- a/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
@@ -105,7 +105,7 @@
 
         override fun isLive(share: String) = share in leaders
 
-        override fun maySpare(share: String) = table.count(share) > (settings.share(share)?.floor ?: 0)
+        override fun spare(share: String) = table.count(share) - (settings.share(share)?.floor ?: 0)
     }
 
     private companion object {
--- a/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
+++ b/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
@@ -11,6 +11,7 @@
 import mintfield.core.ownership.GuestQuery
 import mintfield.core.ownership.HandoverAgent
 import mintfield.core.ownership.LeaderCondition
+import mintfield.core.ownership.Rebalancer
 import mintfield.core.ownership.ShareOwnership
 import mintfield.core.ownership.ShareSettings
 import mintfield.io.loop.EventLoop
@@ -51,7 +52,9 @@
             node.settings.shares
                 .first()
                 .name == share.name
-        agent = HandoverAgent(ownership, node.table, scheduler, node, claimsOwnerless = first) { Log.info(it) }
+        val rebalancer = Rebalancer(share.name, scheduler.cluster, node.table, node) { node.shortage(it, loop.nowMs()) }
+        val names = node.settings.shares.map { it.name }
+        agent = HandoverAgent(ownership, node.table, scheduler, node, claimsOwnerless = first, { rebalancer.gifts(it, names) }) { Log.info(it) }
         away = AwayTasks(scheduler)
         desk = GuestDesk(scheduler)
     }
--- a/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
+++ b/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
@@ -1,5 +1,6 @@
 package mintfield.app.sharing
 
+import mintfield.core.Tuning
 import mintfield.core.model.JobSpec
 import mintfield.core.ownership.Assignment
 import mintfield.core.ownership.ShareSettings
@@ -43,5 +44,30 @@
 
     override fun isLive(share: String) = leaderOf(share) != null
 
-    override fun maySpare(share: String) = table.count(share) > (settings.share(share)?.floor ?: 0)
+    override fun spare(share: String) = table.count(share) - (settings.share(share)?.floor ?: 0)
+
+    private class Told(
+        val shortCpus: Double,
+        val atMs: Long,
+    )
+
+    private val told = HashMap<String, Told>()
+
+    /** The leader of [share] says that its jobs wait for [shortCpus] more than its machines have. */
+    fun shortageTold(
+        share: String,
+        shortCpus: Double,
+        nowMs: Long,
+    ) {
+        told[share] = Told(shortCpus, nowMs)
+    }
+
+    /** CPUs that [share] was short of when last heard; 0 if that is long ago, or it may have no more machines. */
+    fun shortage(
+        share: String,
+        nowMs: Long,
+    ): Double {
+        val last = told[share]?.takeIf { nowMs - it.atMs < Tuning.SHORTAGE_MS } ?: return 0.0
+        return if (table.count(share) < (settings.share(share)?.ceiling ?: 0)) last.shortCpus else 0.0
+    }
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -460,6 +460,21 @@
     /** Milliseconds that a controller waits before it stands for a share whose home is another: an election of the home takes less. */
     const val HOME_FIRST_MS = 600L
 
+    /** Milliseconds for which the home of a share must be up before another controller gives the share back: a take-over costs a second
+     *  without starts, and a home that ends again soon would cost more of them. */
+    const val HOME_RETURN_MS = 20_000L
+
+    /** Milliseconds for which a machine must stand idle before it is given to a share that is short, and between two gifts: a round or
+     *  two may leave it idle for a moment, and a machine that is given too soon comes back. */
+    const val IDLE_GIVEN_MS = 5_000L
+    const val REBALANCE_MS = 2_000L
+
+    /** Share of its machines that a share gives at a time, but at least one. */
+    const val REBALANCE_SHARE = 0.05
+
+    /** Milliseconds for which it counts that a share said it was short. */
+    const val SHORTAGE_MS = 5_000L
+
     /** Blocks of the table of assignments. With 4,000 machines one holds some 31 of them; the fullest, with all of them moving, takes
      *  less than a value of 8 KiB. Not to be changed while a table exists. */
     const val ASSIGNMENT_BLOCKS = 128
--- a/src/main/kotlin/mintfield/core/ownership/Assignment.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Assignment.kt
@@ -87,6 +87,6 @@
 
     fun isLive(share: String): Boolean
 
-    /** Whether [share] may give a machine away without falling below its floor. */
-    fun maySpare(share: String): Boolean
+    /** Machines that [share] may give away without falling below its floor. */
+    fun spare(share: String): Int
 }
--- a/src/main/kotlin/mintfield/core/ownership/Handover.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Handover.kt
@@ -30,7 +30,7 @@
             current !is Owned -> refuse(Refusal.ALREADY_MOVING)
             current.owner == target -> refuse(Refusal.ALREADY_OWNED)
             !shares.isLive(target) -> refuse(Refusal.TARGET_NOT_LIVE)
-            !shares.maySpare(current.owner) -> refuse(Refusal.BELOW_FLOOR)
+            shares.spare(current.owner) <= 0 -> refuse(Refusal.BELOW_FLOOR)
             else -> Step.To(Releasing(current.owner, target))
         }
 
--- a/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
+++ b/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
@@ -14,7 +14,7 @@
     val next: Assignment?,
     val condition: LeaderCondition?,
 ) {
-    enum class Kind { RELEASE, ADOPT, TAKE_BACK, CLAIM, DROP }
+    enum class Kind { ORDER, RELEASE, ADOPT, TAKE_BACK, CLAIM, DROP }
 }
 
 /** Changes that are carried out whole or not at all. */
@@ -44,6 +44,8 @@
     private val shares: Shares,
     /** Whether this share takes machines that have no owner. */
     private val claimsOwnerless: Boolean,
+    /** Which idle machines go to which share. */
+    private val gifts: (Long) -> Map<String, String> = { emptyMap() },
     private val log: (String) -> Unit,
 ) {
     private val share = ownership.share
@@ -65,7 +67,7 @@
     fun next(nowMs: Long): AssignmentTransaction? {
         if (!scheduler.loaded || table.revision == 0L) return null
         reconcile(nowMs)
-        val wanted = (moves(nowMs) + claims(nowMs) + drops()).take(Tuning.ASSIGNMENT_CHANGES_AT_ONCE)
+        val wanted = (moves(nowMs) + claims(nowMs) + drops() + given(nowMs)).take(Tuning.ASSIGNMENT_CHANGES_AT_ONCE)
         val transaction = transaction(wanted) ?: return null
         transaction.changes.forEach { if (it.kind == AssignmentChange.Kind.RELEASE) ownership.letGo(it.machine) }
         return transaction
@@ -146,6 +148,12 @@
         return toDrop.mapNotNull { change(AssignmentChange.Kind.DROP, it, Handover.drop(table.assignment(it), share)) }
     }
 
+    private fun given(nowMs: Long): List<AssignmentChange> =
+        gifts(nowMs).mapNotNull { (machine, target) ->
+            val order = Handover.order(table.assignment(machine), target, shares) as? Step.To
+            order?.let { AssignmentChange(AssignmentChange.Kind.ORDER, machine, it.next, LeaderCondition.Leads(share)) }
+        }
+
     private fun rented(
         intent: RentIntent,
         machines: List<String>,
@@ -171,7 +179,7 @@
                 AssignmentChange.Kind.RELEASE -> ownership.letGoEnded(change.machine)
                 AssignmentChange.Kind.ADOPT -> fleet.adopted(change.machine, nowMs)
                 AssignmentChange.Kind.CLAIM -> claimed(change.machine, nowMs)
-                AssignmentChange.Kind.TAKE_BACK, AssignmentChange.Kind.DROP -> {}
+                AssignmentChange.Kind.ORDER, AssignmentChange.Kind.TAKE_BACK, AssignmentChange.Kind.DROP -> {}
             }
         }
         reconcile(nowMs)
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -51,6 +51,8 @@
 class ShareTerm(
     @ProtoNumber(1) val share: String,
     @ProtoNumber(2) val term: Long,
+    /** CPUs that its jobs wait for and its machines do not have. */
+    @ProtoNumber(3) val shortCpus: Double = 0.0,
 )
 
 /** The answer to a note: what its sender lacks of the log of cancellations that users were told of here. */
@@ -118,6 +120,15 @@
         /** They do so at a sibling. */
         fun siblingCrowded()
 
+        /** CPUs that the share [share], which is led here, is short of. */
+        fun shortCpus(share: String): Double
+
+        /** A sibling's leader of [share] is short of [cpus]. */
+        fun siblingShort(
+            share: String,
+            cpus: Double,
+        )
+
         /** A sibling leads [share] with [term]. */
         fun siblingLeads(
             member: String,
@@ -218,7 +229,7 @@
             incarnation,
             next,
             if (page.size < progress.size) progress.size else 0,
-            terms.filterKeys { it != Leaderships.ONLY }.map { (share, its) -> ShareTerm(share, its) },
+            terms.filterKeys { it != Leaderships.ONLY }.map { (share, its) -> ShareTerm(share, its, owner.shortCpus(share)) },
         )
     }
 
@@ -301,7 +312,10 @@
             val told = progressTold.getOrPut(note.member) { ProgressBoard() }
             told.take(note.progress, note.jobs, loop.nowMs())
             if (note.term > 0) owner.siblingLeads(note.member, Leaderships.ONLY, note.term)
-            note.shares.forEach { owner.siblingLeads(note.member, it.share, it.term) }
+            for (it in note.shares) {
+                owner.siblingLeads(note.member, it.share, it.term)
+                owner.siblingShort(it.share, it.shortCpus)
+            }
         }
         val page = owner.cancellationsAfter(note.readIncarnation, note.readNext)
         val answer = PeerNoteAnswer(page.incarnation, page.from, page.ids, page.total)
@@ -336,6 +350,9 @@
 
     fun heardNow(sibling: String): Boolean = heard[sibling]?.let { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS } ?: false
 
+    /** Whether [sibling] has been heard lately, and the store serves it. */
+    fun upAndServed(sibling: String): Boolean = heardNow(sibling) && heard[sibling]?.note?.storeServes == true
+
     /** A sibling other than [leader] that has been heard lately. */
     fun heardBesides(leader: String): String? = heard.entries.firstOrNull { it.key != leader && loop.nowMs() - it.value.atMs < Tuning.PEER_FRESH_MS }?.key
 
