--- a/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -30,12 +30,19 @@
     private fun onLoop(action: suspend (MachineOrders) -> Int): Int {
         val loop = EventLoop()
         loop.start()
+        val group = AsynchronousChannelGroup.withThreadPool(loop.executor)
         val code = CompletableFuture<Int>()
         loop.post {
-            val outside = Outside(settings, loop, AsynchronousChannelGroup.withThreadPool(loop.executor))
+            val outside = Outside(settings, loop, group)
             loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, outside.store))) }
         }
-        return code.get().also { loop.stop() }
+        return try {
+            code.get()
+        } finally {
+            // The state service's connections are bounded; whoever asks often, such as a test, would use them up.
+            group.shutdownNow()
+            loop.stop()
+        }
     }
 
     private suspend fun show(orders: MachineOrders): Int {
