--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -28,10 +28,11 @@
 private const val MACHINES = "machines"
 
 private const val USAGE =
-    "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] | machines move MACHINE SHARE | machines cancel MACHINE"
+    "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] | machines move MACHINE SHARE | machines cancel MACHINE | " +
+        "machines drain CONTROLLER | machines resume CONTROLLER"
 private const val COMMANDS =
     "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it; " +
-        "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back"
+        "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back, has a controller give its shares to others or lead again"
 
 /** Exit code for settings or arguments that cannot be used. */
 private const val BAD_USAGE = 2
@@ -96,7 +97,8 @@
     words: List<String>,
 ) {
     val code =
-        MachinesCommand(settings(config, operatorFile), ::println).run(words) ?: refuse("$MACHINES expects show [SHARE], move MACHINE SHARE or cancel MACHINE")
+        MachinesCommand(settings(config, operatorFile), ::println).run(words)
+            ?: refuse("$MACHINES expects show [SHARE], move MACHINE SHARE, cancel MACHINE, drain CONTROLLER or resume CONTROLLER")
     exitProcess(code)
 }
 
--- a/src/main/kotlin/mintfield/app/Member.kt
+++ b/src/main/kotlin/mintfield/app/Member.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.plus
-import mintfield.app.sharing.ShareLeader
+import mintfield.app.sharing.SharePart
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.LeaderRole
@@ -31,11 +31,11 @@
     private val outside: Outside,
     private val view: JobView,
     private val horizon: CancellationHorizon,
-    /** The share that is to be led, if machines are shared, and what its leader needs besides. */
-    val share: ShareSettings? = null,
-    private val shareLeader: (ShareSettings) -> ShareLeader = { error("machines are not shared") },
+    /** The share that is to be led, if machines are shared. */
+    private val part: SharePart? = null,
     private val announce: () -> Unit,
 ) {
+    val share: ShareSettings? = part?.share
     private val keys = LeaderKeys(share?.name)
     private val store = outside.store
     private val leaseMs = outside.settings.operator.leaderLeaseMs
@@ -116,8 +116,14 @@
 
     private suspend fun stand() {
         delay(random.nextLong(Tuning.ELECTION_SPREAD_MS))
-        // The controller that should lead a share goes first, if it is up.
-        if (share != null && share.home != me) delay(Tuning.HOME_FIRST_MS)
+        if (part != null) {
+            // The controller that should lead a share goes first, if it is up.
+            delay(part.standDelayMs())
+            if (!part.activation.ready()) {
+                delay(Tuning.ACTIVATION_RETRY_MS)
+                return leadership.moveTo(Role.SEEKING, null)
+            }
+        }
         val sentAt = loop.nowMs()
         val lease = (store.grantLease(leaseMs) as? StoreResult.Ok)?.value
         if (lease == null) {
@@ -125,7 +131,8 @@
             return leadership.moveTo(Role.SEEKING, null)
         }
         val put = KeyWrite.Put(keys.leader, Leader.leaderValue(me, nonce), lease)
-        val r = store.txn(listOf(Guard(keys.leader, 0)), listOf(put), urgent = true)
+        val r = store.txn(listOfNotNull(Guard(keys.leader, 0), part?.activation?.guard), listOf(put), urgent = true)
+        if (r is StoreResult.Ok && part != null) part.activation.checkGuard(r.value)
         val term =
             when {
                 r is StoreResult.Ok && r.value is TxnOutcome.Applied -> (r.value as TxnOutcome.Applied).revision
@@ -157,7 +164,7 @@
         leadership.moveTo(Role.LEADING, me)
         Log.info("leading ${share?.name ?: ""}".trim() + " with term $term")
         val terms = scope + SupervisorJob(scope.coroutineContext[Job])
-        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term, horizon, share?.let(shareLeader)) { why -> depose(terms, why) }
+        val fresh = Leader(loop, terms, outside, view, nonce, lease, clock, term, horizon, part?.leader()) { why -> depose(terms, why) }
         leader = fresh
         fresh.start()
         announce()
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -3,6 +3,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import mintfield.app.sharing.ShareLeader
+import mintfield.app.sharing.SharePart
+import mintfield.app.sharing.SharingActivation
 import mintfield.app.sharing.SharingNode
 import mintfield.core.FleetRoom
 import mintfield.core.SocketBounds
@@ -14,8 +16,10 @@
 import mintfield.core.model.fittingTypes
 import mintfield.core.ownership.GuestAnswer
 import mintfield.core.ownership.GuestQuery
-import mintfield.core.ownership.HomeReturn
-import mintfield.core.ownership.shortCpus
+import mintfield.core.ownership.ShareLoad
+import mintfield.core.ownership.ShareSettings
+import mintfield.core.ownership.ShareSuccession
+import mintfield.core.ownership.Siblings
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.HttpServer
 import mintfield.io.http.Response
@@ -43,7 +47,9 @@
         JobView(outside.store, scope, checkGapMs, loop::nowMs) { fittingTypes(it.spec, outside.types.values) }
     private val horizon = CancellationHorizon(settings.siblings.map { it.member })
     private val cancellations = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
-    private val sharing = settings.operator.sharing?.let { SharingNode(it, outside.store, { id -> view.live[id]?.spec }, ::leaderOf) }
+    private val sharing = settings.operator.sharing?.let { SharingNode(it, outside.store, { id -> view.live[id]?.spec }, ::leaderOf, loop::nowMs) }
+    private val activation = SharingActivation(outside.store)
+    private val succession = ShareSuccession(settings.member, PeerSiblings()) { sharing?.assignments?.drained.orEmpty() }
     private val leaderships = Leaderships(members(), sharing)
     private val changes =
         ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
@@ -55,9 +61,23 @@
 
     private fun members(): List<Member> {
         val shared = sharing ?: return listOf(Member(loop, scope, outside, view, horizon) { peers.announce() })
-        return shared.settings.shares.map { share ->
-            Member(loop, scope, outside, view, horizon, share, { ShareLeader(shared, it, loop, outside.store, ::askGuests) }) { peers.announce() }
-        }
+        return shared.settings.shares.map { memberOf(shared, it) }
+    }
+
+    private fun memberOf(
+        shared: SharingNode,
+        share: ShareSettings,
+    ): Member {
+        val standDelayMs = { succession.standDelayMs(share, leaderships.leaders.size) }
+        val part = SharePart(share, activation, standDelayMs) { ShareLeader(shared, share, loop, outside.store, ::askGuests) }
+        return Member(loop, scope, outside, view, horizon, part) { peers.announce() }
+    }
+
+    /** The siblings, as far as they are heard here. */
+    private inner class PeerSiblings : Siblings {
+        override val names get() = settings.siblings.map { it.member }
+
+        override fun isUpAndServed(sibling: String) = peers.upAndServed(sibling)
     }
 
     private fun leaderOf(share: String): String? = leaderships.leaderOf(share)
@@ -72,7 +92,7 @@
             changes.onCrowded = ::siblingCrowded
             sharing?.let { scope.launch { it.assignments.follow() } }
             leaderships.members.forEach { scope.launch { it.run() } }
-            if (sharing != null) scope.launch { returnShares() }
+            if (sharing != null) scope.launch { giveUpShares() }
             scope.launch { prepare() }
             scope.launch { lookForStore() }
             scope.launch { watchOver() }
@@ -110,15 +130,13 @@
         while (!view.loaded) if (!view.current()) delay(Tuning.STORE_RETRY_MS)
     }
 
-    /** Gives shares that this controller took over back to their homes. */
-    private suspend fun returnShares() {
-        val homeReturn = HomeReturn(settings.member)
+    /** Gives up shares that another controller should lead: their homes, or any other if this one is drained. */
+    private suspend fun giveUpShares() {
         while (true) {
             delay(Tuning.WATCH_MS)
             for (member in leaderships.members) {
                 val share = member.share ?: continue
-                if (member.leader == null || !homeReturn.due(share, peers.upAndServed(share.home), loop.nowMs())) continue
-                member.handBack("${share.home} is up, the home of ${share.name}")
+                if (member.leader != null) succession.reasonToGiveUp(share, loop.nowMs())?.let { member.handBack(it) }
             }
         }
     }
@@ -226,17 +244,23 @@
         term: Long,
     ) = leaderships.siblingLeads(member, share, term)
 
-    override fun shortCpus(share: String): Double {
-        val leader = leaderships.member(share)?.leader ?: return 0.0
+    override fun loadOf(share: String): ShareLoad? {
+        val load =
+            leaderships
+                .member(share)
+                ?.leader
+                ?.shareLeader
+                ?.load() ?: return null
         // Leaders of other shares in this process learn it here, as siblings do by the note.
-        return shortCpus(leader.scheduler.cluster).also { siblingShort(share, it) }
+        siblingLoad(share, load)
+        return load
     }
 
-    override fun siblingShort(
+    override fun siblingLoad(
         share: String,
-        cpus: Double,
+        load: ShareLoad,
     ) {
-        sharing?.shortageTold(share, cpus, loop.nowMs())
+        sharing?.loadTold(share, load)
     }
 
     override fun guestsAsked(body: ByteArray): ByteArray? {
--- a/src/main/kotlin/mintfield/app/sharing/AssignmentReplica.kt
+++ b/src/main/kotlin/mintfield/app/sharing/AssignmentReplica.kt
@@ -4,18 +4,28 @@
 import mintfield.core.Tuning
 import mintfield.core.ownership.AssignmentBlock
 import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.DrainRecord
 import mintfield.io.loop.Log
 import mintfield.io.ownership.AssignmentCodec
+import mintfield.io.ownership.DrainCodec
 import mintfield.io.store.Keys
 import mintfield.io.store.StoreClient
 import mintfield.io.store.StoreResult
 
-/** Keeps this node's [table] by the state service. */
+/** Keeps this node's [table] of assignments, and who is drained, by the state service. */
 class AssignmentReplica(
     private val store: StoreClient,
 ) {
     val table = AssignmentTable()
 
+    /** The record of drained controllers, as it was last seen. */
+    var drainRecord = DrainRecord.NONE
+        private set
+
+    /** The controllers that are drained, by the last record that could be read. */
+    var drained: Set<String> = emptySet()
+        private set
+
     /** Follows changes as they come, until cancelled. */
     suspend fun follow() {
         while (true) if (!catchUp(Tuning.JOBS_WATCH_MS)) delay(Tuning.STORE_RETRY_MS)
@@ -51,6 +61,7 @@
         data: Map<String, Any?>?,
         mark: Long,
     ) {
+        if (key == Keys.DRAINED) return applyDrained(data, mark)
         val number = key.removePrefix(Keys.ASSIGNMENTS).toIntOrNull()
         if (number == null || number !in 0 until Tuning.ASSIGNMENT_BLOCKS) return Log.error("$key: not a block of assignments; it is left alone")
         // Nobody deletes a block: one that is gone says nothing of its machines, least of all that they are gone.
@@ -58,4 +69,15 @@
         if (assignments == null) Log.error("$key: the assignments of revision $mark cannot be read; they are kept, and their machines left alone")
         table.apply(number, AssignmentBlock(mark, assignments))
     }
+
+    private fun applyDrained(
+        data: Map<String, Any?>?,
+        mark: Long,
+    ) {
+        if (mark <= drainRecord.mark) return
+        val members = if (data == null) emptySet() else DrainCodec.parse(data)
+        if (members == null) Log.error("${Keys.DRAINED}: the record of revision $mark cannot be read; what was known before stands")
+        drainRecord = DrainRecord(mark, members)
+        drained = members ?: drained
+    }
 }
--- a/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
@@ -2,6 +2,8 @@
 
 import mintfield.core.ownership.Assignment
 import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.DrainRecord
+import mintfield.core.ownership.DrainStep
 import mintfield.core.ownership.Handover
 import mintfield.core.ownership.KnownAssignment
 import mintfield.core.ownership.Refusal
@@ -9,6 +11,7 @@
 import mintfield.core.ownership.SharingSettings
 import mintfield.core.ownership.Step
 import mintfield.io.ownership.AssignmentCodec
+import mintfield.io.ownership.DrainCodec
 import mintfield.io.store.Guard
 import mintfield.io.store.KeyWrite
 import mintfield.io.store.Keys
@@ -22,7 +25,7 @@
     data object Done : OrderOutcome
 
     data class Refused(
-        val refusal: Refusal,
+        val reason: String,
     ) : OrderOutcome
 
     /** The state service did not answer, or kept changing meanwhile; whether the order was carried out is not known. */
@@ -36,22 +39,27 @@
     val machines: List<String>,
 )
 
-/** What operators see of the machines and their owners. */
+/** What operators see of the machines, their owners and the controllers that are drained. */
 class OwnershipStatus(
     val shares: List<ShareStatus>,
     val moves: Map<String, Assignment>,
+    val drained: Set<String>,
 )
 
 /** Operators' orders, carried out on the state service itself: no controller need be up for them. */
 class MachineOrders(
     private val settings: SharingSettings,
+    /** The names of all controllers. */
+    private val controllers: List<String>,
     private val store: StoreClient,
 ) {
     /** Null if the state service does not answer. */
     suspend fun status(): OwnershipStatus? {
-        val table = read() ?: return null
+        val replica = read() ?: return null
+        val table = replica.table
         val leaders = leaders() ?: return null
-        return OwnershipStatus(settings.shares.map { ShareStatus(it.name, leaders[it.name], table.machines(it.name)) }, table.moving.toMap())
+        val shares = settings.shares.map { ShareStatus(it.name, leaders[it.name], table.machines(it.name)) }
+        return OwnershipStatus(shares, table.moving.toMap(), replica.drained)
     }
 
     /** Orders the move of [machine] to the share [target]. */
@@ -63,20 +71,41 @@
     /** Takes the order to move [machine] back. */
     suspend fun cancel(machine: String): OrderOutcome = change(machine) { current, _ -> Handover.cancel(current) }
 
+    /** Has [controller] give its shares to others, and stand for none while others do. */
+    suspend fun drain(controller: String): OrderOutcome = changeDrained { it.drain(controller, controllers) }
+
+    /** Lets [controller] lead shares again. */
+    suspend fun resume(controller: String): OrderOutcome = changeDrained { it.resume(controller) }
+
+    private suspend fun changeDrained(step: (DrainRecord) -> DrainStep): OrderOutcome {
+        repeat(TRIES) {
+            val record = (read() ?: return OrderOutcome.Unavailable).drainRecord
+            val members =
+                when (val found = step(record)) {
+                    is DrainStep.Refused -> return OrderOutcome.Refused(found.refusal.reason)
+                    is DrainStep.To -> found.members
+                }
+            val result = store.txn(listOf(Guard(Keys.DRAINED, record.mark)), listOf(KeyWrite.Put(Keys.DRAINED, DrainCodec.write(members))))
+            val outcome = (result as? StoreResult.Ok)?.value ?: return OrderOutcome.Unavailable
+            if (outcome is TxnOutcome.Applied) return OrderOutcome.Done
+        }
+        return OrderOutcome.Unavailable
+    }
+
     private suspend fun change(
         machine: String,
         step: (Assignment?, Shares) -> Step,
     ): OrderOutcome {
         repeat(TRIES) {
-            val table = read() ?: return OrderOutcome.Unavailable
+            val table = (read() ?: return OrderOutcome.Unavailable).table
             val leaders = leaders() ?: return OrderOutcome.Unavailable
-            if (table.of(machine) == KnownAssignment.Unknown) return OrderOutcome.Refused(Refusal.UNREADABLE)
+            if (table.of(machine) == KnownAssignment.Unknown) return OrderOutcome.Refused(Refusal.UNREADABLE.reason)
             val next =
                 when (val found = step(table.assignment(machine), SharesNow(table, leaders))) {
-                    is Step.Refused -> return OrderOutcome.Refused(found.refusal)
+                    is Step.Refused -> return OrderOutcome.Refused(found.refusal.reason)
                     is Step.To -> found.next
                 }
-            val content = table.blockWith(machine, next) ?: return OrderOutcome.Refused(Refusal.UNREADABLE)
+            val content = table.blockWith(machine, next) ?: return OrderOutcome.Refused(Refusal.UNREADABLE.reason)
             val key = Keys.assignments(AssignmentTable.blockOf(machine))
             val result = store.txn(listOf(Guard(key, table.markOf(machine))), listOf(KeyWrite.Put(key, AssignmentCodec.write(content))))
             val outcome = (result as? StoreResult.Ok)?.value ?: return OrderOutcome.Unavailable
@@ -85,7 +114,7 @@
         return OrderOutcome.Unavailable
     }
 
-    private suspend fun read(): AssignmentTable? = AssignmentReplica(store).let { if (it.current()) it.table else null }
+    private suspend fun read(): AssignmentReplica? = AssignmentReplica(store).takeIf { it.current() }
 
     /** The controllers that lead, by share. */
     private suspend fun leaders(): Map<String, String>? {
--- a/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -10,11 +10,13 @@
 import java.nio.channels.AsynchronousChannelGroup
 import java.util.concurrent.CompletableFuture
 
-/** The command `machines`: shows who owns machines and which of them move, orders moves and takes orders back. */
+/** The command `machines`: shows who owns machines and which of them move, orders moves and takes them back, drains controllers. */
 class MachinesCommand(
     private val settings: Settings,
     private val print: (String) -> Unit,
 ) {
+    private val controllers = (settings.siblings.map { it.member } + settings.member).sorted()
+
     /** Runs the command with [words] after its name; returns the exit code, or null if the words cannot be used. */
     fun run(words: List<String>): Int? {
         if (settings.operator.sharing == null) return refused("machines are not shared: the operators' file has no block sharing")
@@ -23,6 +25,8 @@
             words.size == 2 && words[0] == "show" -> onLoop { show(it, words[1]) }
             words.size == 3 && words[0] == "move" -> onLoop { told(it.move(words[1], words[2])) }
             words.size == 2 && words[0] == "cancel" -> onLoop { told(it.cancel(words[1])) }
+            words.size == 2 && words[0] == "drain" -> onLoop { told(it.drain(words[1])) }
+            words.size == 2 && words[0] == "resume" -> onLoop { told(it.resume(words[1])) }
             else -> null
         }
     }
@@ -34,7 +38,7 @@
         val code = CompletableFuture<Int>()
         loop.post {
             val outside = Outside(settings, loop, group)
-            loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, outside.store))) }
+            loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, controllers, outside.store))) }
         }
         return try {
             code.get()
@@ -49,6 +53,10 @@
         val status = orders.status() ?: return unavailable()
         status.shares.forEach { print("${it.name}: ${it.machines.size} machines, led by ${it.leader ?: "nobody"}") }
         status.moves.forEach { (machine, move) -> print("$machine: ${describe(move)}") }
+        status.drained.forEach { controller ->
+            val led = status.shares.filter { it.leader == controller }.map { it.name }
+            print("$controller: drained, leads ${if (led.isEmpty()) "nothing" else led.joinToString(", ")}")
+        }
         return DONE
     }
 
@@ -72,7 +80,7 @@
     private fun told(outcome: OrderOutcome): Int =
         when (outcome) {
             OrderOutcome.Done -> DONE.also { print("done") }
-            is OrderOutcome.Refused -> refused("refused: ${outcome.refusal.reason}")
+            is OrderOutcome.Refused -> refused("refused: ${outcome.reason}")
             OrderOutcome.Unavailable -> unavailable()
         }
 
--- a/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
+++ b/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
@@ -11,7 +11,9 @@
 import mintfield.core.ownership.GuestQuery
 import mintfield.core.ownership.HandoverAgent
 import mintfield.core.ownership.LeaderCondition
+import mintfield.core.ownership.LoadMeter
 import mintfield.core.ownership.Rebalancer
+import mintfield.core.ownership.ShareLoad
 import mintfield.core.ownership.ShareOwnership
 import mintfield.core.ownership.ShareSettings
 import mintfield.io.loop.EventLoop
@@ -45,20 +47,27 @@
     private lateinit var agent: HandoverAgent
     private lateinit var away: AwayTasks
     private lateinit var desk: GuestDesk
+    private lateinit var scheduler: Scheduler
+    private lateinit var meter: LoadMeter
 
     /** Joins this to the [scheduler] of the leader. */
     fun attach(scheduler: Scheduler) {
+        this.scheduler = scheduler
         val first =
             node.settings.shares
                 .first()
                 .name == share.name
-        val rebalancer = Rebalancer(share.name, scheduler.cluster, node.table, node) { node.shortage(it, loop.nowMs()) }
+        val rebalancer = Rebalancer(share.name, scheduler.cluster, node.table, node, node)
+        meter = LoadMeter(scheduler.cluster)
         val names = node.settings.shares.map { it.name }
         agent = HandoverAgent(ownership, node.table, scheduler, node, claimsOwnerless = first, { rebalancer.gifts(it, names) }) { Log.info(it) }
         away = AwayTasks(scheduler)
         desk = GuestDesk(scheduler)
     }
 
+    /** How much work there is for its machines; null while that is not known yet. */
+    fun load(): ShareLoad? = if (scheduler.loaded) meter.measure() else null
+
     fun answer(queries: List<GuestQuery>): List<GuestAnswer> = queries.map { desk.answer(it, loop.nowMs()) }
 
     /** Reads the assignments as they are now or later: a new leader acts by nothing older than its election. */
--- a/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
+++ b/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
@@ -3,6 +3,8 @@
 import mintfield.core.Tuning
 import mintfield.core.model.JobSpec
 import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.ShareLoad
+import mintfield.core.ownership.ShareLoads
 import mintfield.core.ownership.ShareSettings
 import mintfield.core.ownership.Shares
 import mintfield.core.ownership.SharingSettings
@@ -16,7 +18,9 @@
     private val spec: (String) -> JobSpec?,
     /** Who leads a share, as far as is known here. */
     private val leaderOf: (String) -> String?,
-) : Shares {
+    private val nowMs: () -> Long,
+) : Shares,
+    ShareLoads {
     val assignments = AssignmentReplica(store)
     val table get() = assignments.table
 
@@ -47,27 +51,25 @@
     override fun spare(share: String) = table.count(share) - (settings.share(share)?.floor ?: 0)
 
     private class Told(
-        val shortCpus: Double,
+        val load: ShareLoad,
         val atMs: Long,
     )
 
     private val told = HashMap<String, Told>()
 
-    /** The leader of [share] says that its jobs wait for [shortCpus] more than its machines have. */
-    fun shortageTold(
+    /** The leader of [share], here or at a sibling, says what its load is. */
+    fun loadTold(
         share: String,
-        shortCpus: Double,
-        nowMs: Long,
+        load: ShareLoad,
     ) {
-        told[share] = Told(shortCpus, nowMs)
+        told[share] = Told(load, nowMs())
     }
 
-    /** CPUs that [share] was short of when last heard; 0 if that is long ago, or it may have no more machines. */
-    fun shortage(
-        share: String,
-        nowMs: Long,
-    ): Double {
-        val last = told[share]?.takeIf { nowMs - it.atMs < Tuning.SHORTAGE_MS } ?: return 0.0
-        return if (table.count(share) < (settings.share(share)?.ceiling ?: 0)) last.shortCpus else 0.0
+    override fun load(share: String): ShareLoad? {
+        val last = told[share]?.takeIf { nowMs() - it.atMs < Tuning.LOAD_FRESH_MS }?.load ?: return null
+        // One that may have no more machines is not short of any.
+        return if (table.count(share) < (settings.share(share)?.ceiling ?: 0)) last else last.copy(shortCpus = 0.0, shortOf = emptySet())
     }
+
+    override fun weight(share: String) = settings.share(share)?.weight ?: ShareSettings.DEFAULT_WEIGHT
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -464,6 +464,22 @@
      *  without starts, and a home that ends again soon would cost more of them. */
     const val HOME_RETURN_MS = 20_000L
 
+    /** Milliseconds that a controller waits longer for each share that it leads already, before it stands for another: the shares of one
+     *  that is lost spread over the others. Elections take less. */
+    const val LED_SHARE_STAND_MS = 150L
+
+    /** Milliseconds that a drained controller waits before it stands for a share, since others come first; it stands all the same rather
+     *  than leave a share without a leader. */
+    const val DRAINED_STAND_MS = 8_000L
+
+    /** Milliseconds for which another controller must be up before a drained one gives it a share, and between two shares: each costs
+     *  its successor a replay. */
+    const val DRAIN_HOLD_MS = 3_000L
+    const val DRAIN_STEP_MS = 3_000L
+
+    /** Milliseconds between two looks whether machines may be shared, while something of the time before stands against it. */
+    const val ACTIVATION_RETRY_MS = 5_000L
+
     /** Milliseconds for which a machine must stand idle before it is given to a share that is short, and between two gifts: a round or
      *  two may leave it idle for a moment, and a machine that is given too soon comes back. */
     const val IDLE_GIVEN_MS = 5_000L
@@ -472,8 +488,23 @@
     /** Share of its machines that a share gives at a time, but at least one. */
     const val REBALANCE_SHARE = 0.05
 
-    /** Milliseconds for which it counts that a share said it was short. */
-    const val SHORTAGE_MS = 5_000L
+    /** Milliseconds for which it counts what a share said of its load. */
+    const val LOAD_FRESH_MS = 5_000L
+
+    /** Milliseconds for which a machine that was given counts as on its way: a move takes some 100 ms, at times 4 s, and the next note
+     *  one more. */
+    const val GRANT_COUNTS_MS = 6_000L
+
+    /** Share of its due by which a share must have more, or less, before machines in use are moved for it: without that they would go
+     *  back and forth with every job that ends. */
+    const val FAIR_SLACK = 0.15
+
+    /** Milliseconds for which a machine that has moved is not moved on while it is in use. */
+    const val KEPT_AFTER_MOVE_MS = 20_000L
+
+    /** Milliseconds for which a share must be short before a machine is given to it for its free room alone: no job is to wait 90 s while
+     *  a machine has room, and mostly an idle machine is found sooner. */
+    const val ROOM_PATIENCE_MS = 30_000L
 
     /** Blocks of the table of assignments. With 4,000 machines one holds some 31 of them; the fullest, with all of them moving, takes
      *  less than a value of 8 KiB. Not to be changed while a table exists. */
--- a/src/main/kotlin/mintfield/core/ownership/Rebalancer.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Rebalancer.kt
@@ -2,29 +2,43 @@
 
 import mintfield.core.Cluster
 import mintfield.core.Tuning
+import mintfield.core.fleet.Machine
 import mintfield.core.fleet.MachineState
 
-/** CPUs that jobs of a share wait for and that its machines do not have free. */
-fun shortCpus(cluster: Cluster): Double {
-    val wanted = cluster.jobs.values.sumOf { if (it.withdrawn) 0.0 else it.askable * it.spec.cpus }
-    val free = cluster.machines.values.sumOf { if (it.state == MachineState.UP && cluster.ownership.mayStart(it.id)) it.freeCpus else 0.0 }
-    return maxOf(0.0, wanted - free)
-}
-
 /**
- * Gives machines that stand idle in one share to one that is short: a job must not wait in one share while a machine of another has room. Only
- * the owner gives, only machines without tasks that have been so for a while, few at a time, and none below its floor.
+ * Gives machines of one share to shares that are short: a job must not wait in one share while a machine of another has room, and while
+ * all are short each is due its part by weight. Only the owner gives, few machines at a time, none below its floor, and only such as the
+ * waiting tasks fit on. Tasks on a machine that is given run on there until they end.
  */
 class Rebalancer(
     private val share: String,
     private val cluster: Cluster,
     private val table: AssignmentTable,
     private val shares: Shares,
-    /** CPUs that another share is short of, as far as is known. */
-    private val shortage: (String) -> Double,
+    private val loads: ShareLoads,
 ) {
+    private class Grant(
+        val target: String,
+        val cpus: Double,
+        val atMs: Long,
+    )
+
+    /** A share that is short, with what it still lacks once everything that was given to it has arrived. */
+    private class Needy(
+        val name: String,
+        val load: ShareLoad,
+        var lackCpus: Double,
+    ) {
+        fun wants(machine: Machine) = lackCpus > 0 && machine.kind in load.shortOf
+    }
+
+    private val meter = LoadMeter(cluster)
     private val idleSinceMs = HashMap<String, Long>()
-    private var lastMs = Long.MIN_VALUE / 2
+    private val grants = ArrayList<Grant>()
+
+    /** Since when each share that is short has been so. */
+    private val needySinceMs = HashMap<String, Long>()
+    private var lastLookMs = Long.MIN_VALUE / 2
 
     /** The machines to be given now, each with the share that gets it. */
     fun gifts(
@@ -32,29 +46,100 @@
         targets: Collection<String>,
     ): Map<String, String> {
         val idle = idle(nowMs)
-        if (idle.isEmpty() || nowMs - lastMs < Tuning.REBALANCE_MS || shortCpus(cluster) > 0) return emptyMap()
-        val target = targets.filter { it != share && shares.isLive(it) && shortage(it) > 0 }.maxByOrNull(shortage) ?: return emptyMap()
-        lastMs = nowMs
-        val most = minOf(maxOf(1, (table.count(share) * Tuning.REBALANCE_SHARE).toInt()), shares.spare(share))
-        var left = shortage(target)
-        val given = LinkedHashMap<String, String>()
-        for (machine in idle.take(maxOf(0, most))) {
-            if (left <= 0) break
-            given[machine] = target
-            left -=
-                cluster.machines
-                    .getValue(machine)
-                    .type.cpus
+        if (nowMs - lastLookMs < Tuning.REBALANCE_MS) return emptyMap()
+        lastLookMs = nowMs
+        grants.removeAll { nowMs - it.atMs > Tuning.GRANT_COUNTS_MS }
+        val others = targets.filter { it != share && shares.isLive(it) }.mapNotNull { name -> loads.load(name)?.let { name to it } }.toMap()
+        val needy = others.map { (name, load) -> Needy(name, load, load.shortCpus - granted(name)) }.filter { it.lackCpus > 0 }
+        needySinceMs.keys.retainAll(needy.mapTo(HashSet()) { it.name })
+        needy.forEach { needySinceMs.putIfAbsent(it.name, nowMs) }
+        val most = mostAtOnce()
+        if (needy.isEmpty() || most <= 0) return emptyMap()
+        val own = meter.measure()
+        val given =
+            idleGifts(idle, own, needy, most)
+                .ifEmpty { fairGifts(own, others, needy, most, nowMs) }
+                .ifEmpty { roomGift(own, needy, nowMs) }
+        for ((machine, target) in given) grants.add(Grant(target, machine.type.cpus, nowMs))
+        return given.entries.associate { (machine, target) -> machine.id to target }
+    }
+
+    private fun mostAtOnce(): Int = minOf(maxOf(1, (table.count(share) * Tuning.REBALANCE_SHARE).toInt()), shares.spare(share))
+
+    private fun granted(target: String) = grants.sumOf { if (it.target == target) it.cpus else 0.0 }
+
+    private fun idle(nowMs: Long): List<Machine> {
+        val now = cluster.machines.values.filter { it.state == MachineState.UP && !it.inUse && cluster.ownership.mayStart(it.id) }
+        idleSinceMs.keys.retainAll(now.mapTo(HashSet()) { it.id })
+        return now.filter { nowMs - idleSinceMs.getOrPut(it.id) { nowMs } >= Tuning.IDLE_GIVEN_MS }
+    }
+
+    /** Machines that stand idle and that this share's own waiting tasks have no use for. */
+    private fun idleGifts(
+        idle: List<Machine>,
+        own: ShareLoad,
+        needy: List<Needy>,
+        most: Int,
+    ): Map<Machine, String> {
+        val given = LinkedHashMap<Machine, String>()
+        for (machine in idle) {
+            if (given.size == most) break
+            if (machine.kind in own.shortOf) continue
+            val target = needy.filter { it.wants(machine) }.maxByOrNull { it.lackCpus } ?: continue
+            given[machine] = target.name
+            target.lackCpus -= machine.type.cpus
+        }
+        return given
+    }
+
+    /** Machines in use, from a share that has more than its part to the one that has the least of its part. */
+    private fun fairGifts(
+        own: ShareLoad,
+        others: Map<String, ShareLoad>,
+        needy: List<Needy>,
+        most: Int,
+        nowMs: Long,
+    ): Map<Machine, String> {
+        val all = others + (share to own)
+        val due = FairShares.divide(all.values.sumOf { it.ownedCpus }, all.mapValues { (name, load) -> FairShares.Claim(loads.weight(name), load.wantedCpus) })
+        val ownDue = due.getValue(share)
+        var excess = own.ownedCpus - ownDue
+        if (excess <= ownDue * Tuning.FAIR_SLACK) return emptyMap()
+        val target = needy.maxByOrNull { lackOf(it, due) / due.getValue(it.name) } ?: return emptyMap()
+        var lack = lackOf(target, due)
+        if (lack <= due.getValue(target.name) * Tuning.FAIR_SLACK) return emptyMap()
+        val given = LinkedHashMap<Machine, String>()
+        for (machine in movable(nowMs).filter { target.wants(it) }) {
+            if (given.size == most) break
+            if (machine.type.cpus > excess || machine.type.cpus > lack) continue
+            given[machine] = target.name
+            excess -= machine.type.cpus
+            lack -= machine.type.cpus
         }
         return given
     }
 
-    private fun idle(nowMs: Long): List<String> {
-        val now =
-            cluster.machines.values
-                .filter { it.state == MachineState.UP && !it.inUse && cluster.ownership.mayStart(it.id) }
-                .map { it.id }
-        idleSinceMs.keys.retainAll(now.toSet())
-        return now.filter { nowMs - idleSinceMs.getOrPut(it) { nowMs } >= Tuning.IDLE_GIVEN_MS }
+    /** When a share has been short for long: one machine that has room for its smallest task, if this share has no use for that room. */
+    private fun roomGift(
+        own: ShareLoad,
+        needy: List<Needy>,
+        nowMs: Long,
+    ): Map<Machine, String> {
+        if (own.shortCpus > 0) return emptyMap()
+        val target = needy.filter { nowMs - needySinceMs.getValue(it.name) > Tuning.ROOM_PATIENCE_MS }.maxByOrNull { it.lackCpus } ?: return emptyMap()
+        val machine = movable(nowMs).firstOrNull { target.wants(it) && it.freeCpus >= target.load.smallestCpus } ?: return emptyMap()
+        return mapOf(machine to target.name)
     }
+
+    /** CPUs that [needy] has less than it is due, once everything that was given to it has arrived. */
+    private fun lackOf(
+        needy: Needy,
+        due: Map<String, Double>,
+    ) = due.getValue(needy.name) - needy.load.ownedCpus - granted(needy.name)
+
+    /** Machines that may be given though they are in use, those with the most room first; none that has just come. */
+    private fun movable(nowMs: Long): List<Machine> =
+        cluster.machines.values
+            .filter { it.state == MachineState.UP && cluster.ownership.mayStart(it.id) && nowMs - it.adoptedAtMs > Tuning.KEPT_AFTER_MOVE_MS }
+            .sortedByDescending { it.freeCpus }
 }
--- a/src/main/kotlin/mintfield/core/ownership/SharingSettings.kt
+++ b/src/main/kotlin/mintfield/core/ownership/SharingSettings.kt
@@ -12,7 +12,13 @@
     val floor: Int = 0,
     /** Machines above which it rents no more. */
     val ceiling: Int = Int.MAX_VALUE,
-)
+    /** Its part of the machines, beside the weights of the others, while all want more than there are. */
+    val weight: Double = DEFAULT_WEIGHT,
+) {
+    companion object {
+        const val DEFAULT_WEIGHT = 1.0
+    }
+}
 
 /** How operators divide the machines among the controllers. Every team belongs to one share, so its limit is kept in one place. */
 data class SharingSettings(
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -8,10 +8,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
-import kotlinx.serialization.protobuf.ProtoNumber
 import mintfield.app.Leaderships
 import mintfield.app.Outside
 import mintfield.app.Progress
@@ -19,6 +17,7 @@
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationPage
 import mintfield.core.model.Settings
+import mintfield.core.ownership.ShareLoad
 import mintfield.io.http.HttpClient
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.Reply
@@ -26,78 +25,6 @@
 import mintfield.io.loop.EventLoop
 import mintfield.io.store.StoreClient
 
-/** What controllers tell each other each second. No decision that the rules depend on rests on it, but for its answer. */
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-data class PeerNote(
-    @ProtoNumber(1) val member: String,
-    @ProtoNumber(2) val storeServes: Boolean,
-    @ProtoNumber(3) val leading: Boolean,
-    @ProtoNumber(4) val progress: List<JobProgress> = emptyList(),
-    @ProtoNumber(5) val term: Long = 0,
-    @ProtoNumber(6) val crowded: Boolean = false,
-    /** The process of the receiver whose log of cancellations was read last, and up to which entry. */
-    @ProtoNumber(7) val readIncarnation: Long = 0,
-    @ProtoNumber(8) val readNext: Long = 0,
-    /** Jobs that the leader has, if a note has no room for the progress of all of them; else 0. */
-    @ProtoNumber(9) val jobs: Int = 0,
-    /** The shares that the sender leads, if machines are shared. */
-    @ProtoNumber(10) val shares: List<ShareTerm> = emptyList(),
-)
-
-/** A share that a controller leads, and its term. */
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-class ShareTerm(
-    @ProtoNumber(1) val share: String,
-    @ProtoNumber(2) val term: Long,
-    /** CPUs that its jobs wait for and its machines do not have. */
-    @ProtoNumber(3) val shortCpus: Double = 0.0,
-)
-
-/** The answer to a note: what its sender lacks of the log of cancellations that users were told of here. */
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-class PeerNoteAnswer(
-    @ProtoNumber(1) val incarnation: Long,
-    @ProtoNumber(2) val from: Long,
-    @ProtoNumber(3) val cancelled: List<String> = emptyList(),
-    @ProtoNumber(4) val total: Long,
-)
-
-/** A worker's report that came to a node which does not lead, and what the leader answers to it. */
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-class RelayedReport(
-    @ProtoNumber(1) val from: String,
-    @ProtoNumber(2) val body: ByteArray,
-)
-
-/** A user's request that came to a node which the store does not serve. */
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-class RelayedRequest(
-    @ProtoNumber(1) val method: String,
-    @ProtoNumber(2) val path: String,
-    @ProtoNumber(3) val body: ByteArray,
-)
-
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-class RelayAnswer(
-    @ProtoNumber(1) val status: Int,
-    @ProtoNumber(2) val body: ByteArray,
-    @ProtoNumber(3) val retryAfterS: Int = 0,
-)
-
-@OptIn(ExperimentalSerializationApi::class)
-@Serializable
-data class JobProgress(
-    @ProtoNumber(1) val id: String,
-    @ProtoNumber(2) val done: Int,
-    @ProtoNumber(3) val running: Int,
-)
-
 /** Sends notes to the siblings and keeps the last one of each. */
 @OptIn(ExperimentalSerializationApi::class)
 class PeerLink(
@@ -120,13 +47,13 @@
         /** They do so at a sibling. */
         fun siblingCrowded()
 
-        /** CPUs that the share [share], which is led here, is short of. */
-        fun shortCpus(share: String): Double
+        /** The load of [share], if it is led here. */
+        fun loadOf(share: String): ShareLoad?
 
-        /** A sibling's leader of [share] is short of [cpus]. */
-        fun siblingShort(
+        /** A sibling's leader of [share] tells its load. */
+        fun siblingLoad(
             share: String,
-            cpus: Double,
+            load: ShareLoad,
         )
 
         /** A sibling leads [share] with [term]. */
@@ -229,7 +156,7 @@
             incarnation,
             next,
             if (page.size < progress.size) progress.size else 0,
-            terms.filterKeys { it != Leaderships.ONLY }.map { (share, its) -> ShareTerm(share, its, owner.shortCpus(share)) },
+            terms.filterKeys { it != Leaderships.ONLY }.map { (share, its) -> ShareNote.of(share, its, owner.loadOf(share)) },
         )
     }
 
@@ -314,7 +241,7 @@
             if (note.term > 0) owner.siblingLeads(note.member, Leaderships.ONLY, note.term)
             for (it in note.shares) {
                 owner.siblingLeads(note.member, it.share, it.term)
-                owner.siblingShort(it.share, it.shortCpus)
+                it.load()?.let { load -> owner.siblingLoad(it.share, load) }
             }
         }
         val page = owner.cancellationsAfter(note.readIncarnation, note.readNext)
--- a/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
@@ -47,7 +47,7 @@
         private fun sharing(map: Map<String, Any?>): SharingSettings {
             val shares = block("sharing.", map, "share", null)
             if (shares.isEmpty()) throw SettingsFault("$name: sharing.share: expected at least one block, found none")
-            return SharingSettings(shares.keys.map { share(it, block("sharing.share.", shares, it, setOf("home", "teams", "floor", "ceiling"))) })
+            return SharingSettings(shares.keys.map { share(it, block("sharing.share.", shares, it, setOf("home", "teams", "floor", "ceiling", "weight"))) })
         }
 
         private fun share(
@@ -67,6 +67,7 @@
                 teams?.filterIsInstance<String>() ?: throw SettingsFault("$name: $at.teams: expected a list of teams' names, found ${map["teams"]}"),
                 floor,
                 ceiling,
+                number(at, map, "weight", LEAST_WEIGHT, MOST_WEIGHT, ShareSettings.DEFAULT_WEIGHT),
             )
         }
 
@@ -125,6 +126,8 @@
 
         private companion object {
             const val MOST_MACHINES = 1_000_000.0
+            const val LEAST_WEIGHT = 0.01
+            const val MOST_WEIGHT = 100.0
             val SHARE_NAME = Regex("[A-Za-z0-9-]{1,60}")
         }
     }
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -10,6 +10,9 @@
     /** Blocks of the table of assignments, by number. */
     const val ASSIGNMENTS = "mf/a/"
 
+    /** The controllers that operators have drained. Among the assignments, so that one watch brings both. */
+    const val DRAINED = ASSIGNMENTS + "drained"
+
     fun live(id: String) = LIVE + id
 
     fun final(id: String) = FINAL + id
--- /dev/null
+++ b/src/test/kotlin/mintfield/ownership/RebalancerTest.kt
@@ -0,0 +1,239 @@
+package mintfield.ownership
+
+import mintfield.Fixtures
+import mintfield.core.CommitResult
+import mintfield.core.ReportAnswer
+import mintfield.core.Scheduler
+import mintfield.core.model.JobSpec
+import mintfield.core.model.Order
+import mintfield.core.model.ReportedState
+import mintfield.core.model.Team
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.AssignmentBlock
+import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.FairShares
+import mintfield.core.ownership.LoadMeter
+import mintfield.core.ownership.MachineKind
+import mintfield.core.ownership.Rebalancer
+import mintfield.core.ownership.ShareLoad
+import mintfield.core.ownership.ShareLoads
+import mintfield.core.ownership.ShareOwnership
+import mintfield.core.ownership.Shares
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Which machines the share "a" gives to the shares "b" and "c". */
+class RebalancerTest {
+    private val settings = Fixtures.settings.copy(teams = listOf(Team("a-team", 0.0, 0.0, 0.0, 0.0), Team("limited", 0.0, 6.0, 0.0, 0.0)))
+    private val everywhere = listOf("north", "south").flatMap { listOf(MachineKind("box", it, false), MachineKind("box", it, true)) }.toSet()
+    private val live = hashSetOf("a", "b", "c")
+    private var spare = 10
+    private val told = HashMap<String, ShareLoad>()
+    private val weights = HashMap<String, Double>()
+    private var now = 100_000L
+    private var tally = 1L
+    private var revision = 30L
+
+    private val shares =
+        object : Shares {
+            override fun isKnown(share: String) = true
+
+            override fun isLive(share: String) = share in live
+
+            override fun spare(share: String) = spare
+        }
+    private val loads =
+        object : ShareLoads {
+            override fun load(share: String) = told[share]
+
+            override fun weight(share: String) = weights[share] ?: 1.0
+        }
+    private val machines = (0 until 6).map { "m-$it" }
+    private val table = AssignmentTable()
+
+    init {
+        machines
+            .groupBy(AssignmentTable::blockOf)
+            .forEach { (block, names) -> table.apply(block, AssignmentBlock(5, names.associateWith { Assignment.Owned("a") })) }
+        table.caughtUp(5)
+    }
+
+    private val scheduler = Scheduler(settings, 10, { false }, ShareOwnership("a", table) { null }) { }
+    private val rebalancer = Rebalancer("a", scheduler.cluster, table, shares, loads)
+    private val running = HashMap<String, MutableList<Order.Run>>()
+
+    init {
+        scheduler.types(listOf(Fixtures.box), now)
+        scheduler.disowning.read = true
+        scheduler.replayDone(now)
+        report()
+        report()
+    }
+
+    private fun report() {
+        tally++
+        for (id in machines) {
+            val tasks = running[id].orEmpty().map { Fixtures.task("${it.task.job}/${it.task.index}", it.attempt, ReportedState.RUNNING) }
+            val answer = scheduler.report(Fixtures.report(id, tally, 10, *tasks.toTypedArray()), true, now)
+            val orders = (answer as ReportAnswer.Orders).orders
+            running.getOrPut(id) { ArrayList() }.addAll(orders.filterIsInstance<Order.Run>())
+        }
+    }
+
+    /** Lets [ms] pass, while workers report, and what is planned is written. */
+    private fun pass(ms: Long) {
+        val until = now + ms
+        while (now < until) {
+            now += 500
+            scheduler.nextCommit(now, now, 16)?.let { scheduler.committed(it, CommitResult.Done(20), now) }
+            report()
+            rebalancer.gifts(now, emptyList())
+        }
+    }
+
+    private fun submit(spec: JobSpec) = scheduler.jobChanged(Fixtures.accepted(spec, 6), now)
+
+    private fun job(
+        id: String,
+        tasks: Int,
+        team: String = "a-team",
+        zone: String? = null,
+    ) = Fixtures.spec(id, tasks = tasks, team = team, zone = zone)
+
+    private fun gifts(): Map<String, String> {
+        now += 2_000
+        report()
+        return rebalancer.gifts(now, listOf("a", "b", "c"))
+    }
+
+    /** The order to move [machine] to "b" is written, and b will soon say that it has it. */
+    private fun moves(machine: String) {
+        val block = table.blockWith(machine, Assignment.Releasing("a", "b"))!!
+        table.apply(AssignmentTable.blockOf(machine), AssignmentBlock(++revision, block))
+        val load = told.getValue("b")
+        told["b"] = load.copy(ownedCpus = load.ownedCpus + 4.0, shortCpus = load.shortCpus - 4.0)
+        now += 7_000
+    }
+
+    private fun short(
+        cpus: Double,
+        owned: Double = 8.0,
+        of: Set<MachineKind> = everywhere,
+    ) = ShareLoad(owned, owned + cpus, cpus, 1.0, of)
+
+    @Test
+    fun `machines that stand idle go to the share that is shortest, one at a time, and to none that has no leader`() {
+        gifts()
+        now += 5_000
+        assertEquals(emptyMap<String, String>(), gifts(), "nobody is short")
+        told["b"] = short(5.0)
+        told["c"] = short(7.0)
+        assertEquals(setOf("c"), gifts().values.toSet())
+        assertEquals(emptyMap<String, String>(), rebalancer.gifts(now, listOf("b")), "too soon after the last")
+        assertEquals(listOf("b"), gifts().values.toList(), "what is on its way to c counts")
+        live.remove("b")
+        live.remove("c")
+        now += 10_000
+        assertEquals(emptyMap<String, String>(), gifts())
+        live.add("b")
+        spare = 0
+        assertEquals(emptyMap<String, String>(), gifts(), "at the floor")
+    }
+
+    @Test
+    fun `a machine goes only where something that waits fits on it`() {
+        gifts()
+        now += 6_000
+        told["b"] = short(5.0, of = setOf(MachineKind("box", "south", false), MachineKind("huge", "north", false)))
+        assertEquals(emptyMap<String, String>(), gifts(), "all machines are in the north")
+        told["c"] = short(1.0)
+        assertEquals(listOf("c"), gifts().values.toList())
+    }
+
+    @Test
+    fun `a share is short of what its own machines cannot hold, and of nothing that its team may not have`() {
+        val meter = LoadMeter(scheduler.cluster)
+        submit(job("wk-1", tasks = 24))
+        assertEquals(0.0, meter.measure().shortCpus, "24 CPUs are free")
+        submit(job("wk-2", tasks = 3, zone = "south"))
+        assertEquals(3.0, meter.measure().shortCpus)
+        assertEquals(setOf("south"), meter.measure().shortOf.mapTo(HashSet()) { it.zone })
+        submit(job("wk-3", tasks = 50, team = "limited"))
+        assertEquals(9.0, meter.measure().shortCpus, "six CPUs of its team's limit")
+        assertEquals(33.0, meter.measure().wantedCpus)
+        submit(job("wk-4", tasks = 50, team = "limited"))
+        assertEquals(9.0, meter.measure().shortCpus, "two jobs of one team")
+    }
+
+    @Test
+    fun `an idle machine that its own waiting tasks fit on is kept, one that they do not is given`() {
+        gifts()
+        now += 6_000
+        told["b"] = short(5.0, owned = 20.0)
+        submit(job("wk-2", tasks = 3, zone = "south"))
+        assertEquals(listOf("b"), gifts().values.toList())
+        submit(job("wk-3", tasks = 60))
+        now += 6_000
+        assertEquals(emptyMap<String, String>(), gifts())
+    }
+
+    @Test
+    fun `while all are short each comes to its part by weight, by machines in use, and then nothing moves`() {
+        submit(job("wk-1", tasks = 60))
+        pass(25_000)
+        told["b"] = short(40.0, owned = 20.0)
+        assertEquals(emptyMap<String, String>(), gifts(), "24 and 20 CPUs are near enough to even")
+        weights["a"] = 1.0
+        weights["b"] = 3.0
+        val moved = (1..20).flatMap { gifts().keys.onEach(::moves) }
+        assertEquals(3, moved.size, "12 CPUs are left of 44, where 11 are due")
+        assertTrue(
+            moved.all {
+                scheduler.cluster.machines
+                    .getValue(it)
+                    .inUse
+            },
+            "they are moved with their tasks",
+        )
+    }
+
+    @Test
+    fun `a share that has been short for long gets a machine for its free room, even where nothing is idle`() {
+        submit(job("wk-1", tasks = 22))
+        pass(25_000)
+        assertEquals(
+            22,
+            scheduler.cluster.jobs
+                .getValue("wk-1")
+                .activeAttempts.size,
+        )
+        told["b"] = short(2.0)
+        assertEquals(emptyMap<String, String>(), gifts())
+        val given = (1..16).flatMap { gifts().keys }
+        assertEquals(
+            listOf(2.0),
+            given.map {
+                scheduler.cluster.machines
+                    .getValue(it)
+                    .freeCpus
+            },
+        )
+    }
+
+    @Test
+    fun `shares are divided by weight, and none gets more than it wants`() {
+        fun divide(
+            total: Double,
+            vararg claims: Pair<Double, Double>,
+        ) = FairShares
+            .divide(total, claims.withIndex().associate { (i, c) -> "s$i" to FairShares.Claim(c.first, c.second) })
+            .toSortedMap()
+            .values
+            .toList()
+        assertEquals(listOf(25.0, 75.0), divide(100.0, 1.0 to 200.0, 3.0 to 200.0))
+        assertEquals(listOf(10.0, 30.0, 60.0), divide(100.0, 1.0 to 10.0, 1.0 to 200.0, 2.0 to 200.0))
+        assertEquals(listOf(10.0, 20.0), divide(100.0, 1.0 to 10.0, 1.0 to 20.0))
+        assertEquals(emptyList<Double>(), divide(100.0))
+    }
+}
--- a/src/test/kotlin/mintfield/ownership/SharedServiceTest.kt
+++ b/src/test/kotlin/mintfield/ownership/SharedServiceTest.kt
@@ -6,9 +6,12 @@
 import mintfield.core.ownership.AssignmentTable
 import mintfield.core.ownership.ShareSettings
 import mintfield.core.ownership.SharingSettings
+import mintfield.io.json.asList
+import mintfield.io.json.asMap
 import mintfield.io.json.string
 import mintfield.io.ownership.AssignmentCodec
 import mintfield.io.store.Keys
+import mintfield.io.store.LeaderKeys
 import mintfield.standin.TestCluster
 import mintfield.standin.TestNode
 import mintfield.standin.await
@@ -16,6 +19,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.net.InetSocketAddress
 
 /** Real controllers over loopback, each the leader of a share, with machines that move between them. */
 class SharedServiceTest {
@@ -63,6 +67,10 @@
     ) = """{"id":"$id","bench":"slice","crew":"team$team","shape":"sweep","urgency":"normal","pieces":$tasks,"vcpus":1.0,"cards":0,
         "memoryGb":1.0,"seedbag":"img","sizeGb":1.0,"samePlace":false,"spread":false,"gleaning":true,"growS":3.0,"harvestS":0,"baleS":0}"""
 
+    private fun stored(path: String) = cluster.ask(InetSocketAddress("127.0.0.1", cluster.standIns.storePort), "GET", path)!!.json
+
+    private fun leaderAt(keys: LeaderKeys) = stored("/store/${keys.leader}")["data"].asMap()?.string("member")
+
     private fun stage(id: String) = cluster.ask(nodes.last().address, "GET", "/v1/jobs/$id")?.json?.string("stage")
 
     private fun command(vararg words: String): Pair<Int?, String> {
@@ -111,6 +119,62 @@
         assertEquals(0, cluster.standIns.workers.sumOf { it.sim.killed }, "tasks lost with a lease")
     }
 
+    @Test
+    fun `a controller that is drained gives its share to another without losing a task, and takes it back when it resumes`() {
+        shares = shares.map { it.copy(floor = 1) }
+        start(machines = 3, taskMs = 6_000)
+        submit("wk-000031", 1, tasks = 8)
+        await("its tasks run") {
+            cluster.standIns.workers[1]
+                .present
+                .isNotEmpty()
+        }
+        assertEquals(1 to "refused: unknown controller", command("drain", "plot-9"))
+        assertEquals(0 to "done", command("drain", "plot-1"))
+        assertEquals(1 to "refused: it is drained already", command("drain", "plot-1"))
+        await("another controller leads its share") { Regex("s1: 1 machines, led by plot-[02]").containsMatchIn(command("show").second) }
+        assertTrue("plot-1: drained, leads nothing" in command("show").second)
+        await("its job is done") { stage("wk-000031") == "done" }
+        assertEquals(8, cluster.standIns.workers.sumOf { it.started.size }, "starts")
+        assertEquals(0 to "done", command("drain", "plot-0"))
+        assertEquals(1 to "refused: no other controller would be left", command("drain", "plot-2"))
+        assertEquals(0 to "done", command("resume", "plot-1"))
+        assertEquals(1 to "refused: it is not drained", command("resume", "plot-1"))
+        await("it leads its share again") { "s1: 1 machines, led by plot-1" in command("show").second }
+        await("only the two that are not drained lead") { !Regex("led by (plot-0|nobody)").containsMatchIn(command("show").second) }
+        assertEquals(0, cluster.standIns.workers.sumOf { it.sim.killed }, "tasks lost with a lease")
+    }
+
+    @Test
+    fun `no share is led while a controller without sharing leads or has left work, and none leads beside the shares`() {
+        cluster.start(machines = 1, taskMs = 15_000)
+        val alone = cluster.startNode("plot-7")
+        await("it leads all machines") { leaderAt(LeaderKeys()) != null }
+        assertEquals(201, cluster.ask(alone.address, "POST", "/v1/jobs", job("wk-000041", 0, tasks = 1).replace("team0", "floor"))?.status)
+        await("its job runs") {
+            cluster.standIns.workers[0]
+                .present
+                .isNotEmpty()
+        }
+        val shared = SharingSettings(listOf(ShareSettings("all", "plot-0", listOf("floor", "small"))))
+        cluster.startNode("plot-0") { it.copy(operator = it.operator.copy(sharing = shared)) }
+        Thread.sleep(3_000)
+        assertEquals(null, leaderAt(LeaderKeys("all")), "the other one leads")
+        alone.stop()
+        await("the lease of the one that led has ended") { leaderAt(LeaderKeys()) == null }
+        Thread.sleep(7_000)
+        assertEquals(null, leaderAt(LeaderKeys("all")), "a round of it is left")
+        val again = cluster.restart(alone)
+        await("its job is done") { cluster.ask(again.address, "GET", "/v1/jobs/wk-000041")?.json?.string("stage") == "done" }
+        await("nothing of it is left") { stored("/store?starts=${LeaderKeys().rounds}&most=1")["entries"].asList().isNullOrEmpty() }
+        again.stop()
+        await("the share is led") { leaderAt(LeaderKeys("all")) != null }
+        val late = cluster.restart(again)
+        await("it knows that shares are led") { cluster.ask(late.address, "GET", "/ready")?.status == 200 }
+        Thread.sleep(3_000)
+        assertEquals("(shares)", leaderAt(LeaderKeys()))
+    }
+
     @Test
     fun `the command shows owners and refuses by reason`() {
         start(machines = 3, taskMs = 3_000)
