--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import mintfield.app.sharing.MoveTracing
 import mintfield.app.sharing.ShareLeader
 import mintfield.app.sharing.SharePart
 import mintfield.app.sharing.SharingActivation
@@ -47,7 +48,10 @@
         JobView(outside.store, scope, checkGapMs, loop::nowMs) { fittingTypes(it.spec, outside.types.values) }
     private val horizon = CancellationHorizon(settings.siblings.map { it.member })
     private val cancellations = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
-    private val sharing = settings.operator.sharing?.let { SharingNode(it, outside.store, { id -> view.live[id]?.spec }, ::leaderOf, loop::nowMs) }
+    private val sharing =
+        settings.operator.sharing?.let {
+            SharingNode(it, outside.store, { id -> view.live[id]?.spec }, ::leaderOf, loop::nowMs, MoveTracing.of(settings))
+        }
     private val activation = SharingActivation(outside.store)
     private val succession = ShareSuccession(settings.member, PeerSiblings()) { sharing?.assignments?.drained.orEmpty() }
     private val leaderships = Leaderships(members(), sharing)
--- a/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
@@ -6,6 +6,7 @@
 import mintfield.core.ownership.DrainStep
 import mintfield.core.ownership.Handover
 import mintfield.core.ownership.KnownAssignment
+import mintfield.core.ownership.MoveTracer
 import mintfield.core.ownership.Refusal
 import mintfield.core.ownership.Shares
 import mintfield.core.ownership.SharingSettings
@@ -52,6 +53,7 @@
     /** The names of all controllers. */
     private val controllers: List<String>,
     private val store: StoreClient,
+    private val tracer: MoveTracer = MoveTracer.Off,
 ) {
     /** Null if the state service does not answer. */
     suspend fun status(): OwnershipStatus? {
@@ -66,7 +68,12 @@
     suspend fun move(
         machine: String,
         target: String,
-    ): OrderOutcome = change(machine) { current, shares -> Handover.order(current, target, shares) }
+    ): OrderOutcome =
+        change(machine) { current, shares ->
+            // Only an order that is not refused begins a trace.
+            val step = Handover.order(current, target, shares)
+            if (step is Step.To) Handover.order(current, target, shares, tracer.ordered(machine, current!!.owner, target)) else step
+        }
 
     /** Takes the order to move [machine] back. */
     suspend fun cancel(machine: String): OrderOutcome = change(machine) { current, _ -> Handover.cancel(current) }
--- a/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -33,12 +33,13 @@
 
     private fun onLoop(action: suspend (MachineOrders) -> Int): Int {
         val loop = EventLoop()
+        val tracer = MoveTracing.of(settings, "machines")
         loop.start()
         val group = AsynchronousChannelGroup.withThreadPool(loop.executor)
         val code = CompletableFuture<Int>()
         loop.post {
             val outside = Outside(settings, loop, group)
-            loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, controllers, outside.store))) }
+            loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, controllers, outside.store, tracer))) }
         }
         return try {
             code.get()
@@ -46,6 +47,7 @@
             // The state service's connections are bounded; whoever asks often, such as a test, would use them up.
             group.shutdownNow()
             loop.stop()
+            (tracer as? AutoCloseable)?.close()
         }
     }
 
--- a/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
+++ b/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
@@ -60,7 +60,7 @@
         val rebalancer = Rebalancer(share.name, scheduler.cluster, node.table, node, node)
         meter = LoadMeter(scheduler.cluster)
         val names = node.settings.shares.map { it.name }
-        agent = HandoverAgent(ownership, node.table, scheduler, node, claimsOwnerless = first, { rebalancer.gifts(it, names) }) { Log.info(it) }
+        agent = HandoverAgent(ownership, node.table, scheduler, node, claimsOwnerless = first, { rebalancer.gifts(it, names) }, node.tracer) { Log.info(it) }
         away = AwayTasks(scheduler)
         desk = GuestDesk(scheduler)
     }
--- a/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
+++ b/src/main/kotlin/mintfield/app/sharing/SharingNode.kt
@@ -3,6 +3,7 @@
 import mintfield.core.Tuning
 import mintfield.core.model.JobSpec
 import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.MoveTracer
 import mintfield.core.ownership.ShareLoad
 import mintfield.core.ownership.ShareLoads
 import mintfield.core.ownership.ShareSettings
@@ -19,6 +20,7 @@
     /** Who leads a share, as far as is known here. */
     private val leaderOf: (String) -> String?,
     private val nowMs: () -> Long,
+    val tracer: MoveTracer = MoveTracer.Off,
 ) : Shares,
     ShareLoads {
     val assignments = AssignmentReplica(store)
--- a/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
+++ b/src/main/kotlin/mintfield/core/model/OperatorSettings.kt
@@ -15,6 +15,8 @@
     val fleetMachines: Int? = null,
     /** How machines are shared; null if one leader owns all. */
     val sharing: SharingSettings? = null,
+    /** The file to which moves of machines are written as spans; null if they are not traced. */
+    val traceFile: String? = null,
 )
 
 enum class LogFormat { PLAIN, JSON }
--- a/src/main/kotlin/mintfield/core/ownership/Assignment.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Assignment.kt
@@ -8,6 +8,9 @@
     /** The share that owns the machine, or owned it last. */
     val owner: String
 
+    /** The context of the trace of the move that is under way, if there is one and it is traced. */
+    val trace: String? get() = null
+
     /** The owner's leader acts for the machine. */
     data class Owned(
         override val owner: String,
@@ -17,12 +20,14 @@
     data class Releasing(
         override val owner: String,
         val target: String,
+        override val trace: String? = null,
     ) : Assignment
 
     /** The owner has let the machine go, and [target] has not taken it: nobody acts for it. */
     data class Offered(
         override val owner: String,
         val target: String,
+        override val trace: String? = null,
     ) : Assignment
 }
 
--- a/src/main/kotlin/mintfield/core/ownership/Handover.kt
+++ b/src/main/kotlin/mintfield/core/ownership/Handover.kt
@@ -17,11 +17,12 @@
  * ```
  */
 object Handover {
-    /** An operator, or the planner of any controller, orders a move to [target]. */
+    /** An operator, or the planner of any controller, orders a move to [target], which is followed by [trace] if that is given. */
     fun order(
         current: Assignment?,
         target: String,
         shares: Shares,
+        trace: String? = null,
     ): Step =
         when {
             current == null -> refuse(Refusal.UNKNOWN_MACHINE)
@@ -31,7 +32,7 @@
             current.owner == target -> refuse(Refusal.ALREADY_OWNED)
             !shares.isLive(target) -> refuse(Refusal.TARGET_NOT_LIVE)
             shares.spare(current.owner) <= 0 -> refuse(Refusal.BELOW_FLOOR)
-            else -> Step.To(Releasing(current.owner, target))
+            else -> Step.To(Releasing(current.owner, target, trace))
         }
 
     /** An operator or a controller takes the order back, at any time before the target has adopted the machine. */
@@ -51,7 +52,7 @@
             current == null -> refuse(Refusal.UNKNOWN_MACHINE)
             current !is Releasing -> refuse(Refusal.NOT_MOVING)
             current.owner != share -> refuse(Refusal.NOT_ITS_OWNER)
-            else -> Step.To(Offered(share, current.target), LeaderCondition.Leads(share))
+            else -> Step.To(Offered(share, current.target, current.trace), LeaderCondition.Leads(share))
         }
 
     /** The leader of [share] takes a machine that is offered to it. */
--- a/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
+++ b/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
@@ -46,6 +46,7 @@
     private val claimsOwnerless: Boolean,
     /** Which idle machines go to which share. */
     private val gifts: (Long) -> Map<String, String> = { emptyMap() },
+    private val tracer: MoveTracer = MoveTracer.Off,
     private val log: (String) -> Unit,
 ) {
     private val share = ownership.share
@@ -57,6 +58,7 @@
     private val offeredSinceMs = HashMap<String, Long>()
     private val rentedBy = HashMap<String, RentIntent>()
     private val toDrop = LinkedHashSet<String>()
+    private val times = MoveTimes(ownership.share, tracer)
 
     init {
         fleet.rentedNow = { intent, machines -> rented(intent, machines) }
@@ -67,6 +69,8 @@
     fun next(nowMs: Long): AssignmentTransaction? {
         if (!scheduler.loaded || table.revision == 0L) return null
         reconcile(nowMs)
+        times.shown(table.moving, nowMs)
+        times.heard({ machine -> cluster.machines[machine]?.let(cluster::heardOurs) == true }, nowMs)
         val wanted = (moves(nowMs) + claims(nowMs) + drops() + given(nowMs)).take(Tuning.ASSIGNMENT_CHANGES_AT_ONCE)
         val transaction = transaction(wanted) ?: return null
         transaction.changes.forEach { if (it.kind == AssignmentChange.Kind.RELEASE) ownership.letGo(it.machine) }
@@ -150,7 +154,7 @@
 
     private fun given(nowMs: Long): List<AssignmentChange> =
         gifts(nowMs).mapNotNull { (machine, target) ->
-            val order = Handover.order(table.assignment(machine), target, shares) as? Step.To
+            val order = Handover.order(table.assignment(machine), target, shares, tracer.ordered(machine, share, target)) as? Step.To
             order?.let { AssignmentChange(AssignmentChange.Kind.ORDER, machine, it.next, LeaderCondition.Leads(share)) }
         }
 
@@ -176,8 +180,8 @@
         for (change in transaction.changes) {
             log("${change.machine}: ${change.kind.name.lowercase()}, now ${change.next ?: "without an owner"}")
             when (change.kind) {
-                AssignmentChange.Kind.RELEASE -> ownership.letGoEnded(change.machine)
-                AssignmentChange.Kind.ADOPT -> fleet.adopted(change.machine, nowMs)
+                AssignmentChange.Kind.RELEASE -> released(change.machine, nowMs)
+                AssignmentChange.Kind.ADOPT -> adopted(change.machine, nowMs)
                 AssignmentChange.Kind.CLAIM -> claimed(change.machine, nowMs)
                 AssignmentChange.Kind.ORDER, AssignmentChange.Kind.TAKE_BACK, AssignmentChange.Kind.DROP -> {}
             }
@@ -185,6 +189,22 @@
         reconcile(nowMs)
     }
 
+    private fun released(
+        machine: String,
+        nowMs: Long,
+    ) {
+        ownership.letGoEnded(machine)
+        times.released(machine, nowMs)
+    }
+
+    private fun adopted(
+        machine: String,
+        nowMs: Long,
+    ) {
+        fleet.adopted(machine, nowMs)
+        times.adopted(machine, nowMs)
+    }
+
     private fun claimed(
         machine: String,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/io/ownership/AssignmentCodec.kt
+++ b/src/main/kotlin/mintfield/io/ownership/AssignmentCodec.kt
@@ -11,8 +11,15 @@
     private const val RELEASING = "releasing"
     private const val OFFERED = "offered"
 
+    /** The context of the trace of a move; only where moves are traced. */
+    private const val TRACE = "trace"
+
+    /** Moves of one block that are traced at a time: with more, all at once, a block would not fit a value of 8 KiB. */
+    private const val MOST_TRACED = 16
+
     fun write(assignments: Map<String, Assignment>): ByteArray =
         Json.obj {
+            var traced = 0
             for ((machine, assignment) in assignments) {
                 writeObjectFieldStart(machine)
                 writeStringField(OWNER, assignment.owner)
@@ -21,6 +28,7 @@
                     is Assignment.Releasing -> writeStringField(RELEASING, assignment.target)
                     is Assignment.Offered -> writeStringField(OFFERED, assignment.target)
                 }
+                if (assignment.trace != null && traced++ < MOST_TRACED) writeStringField(TRACE, assignment.trace)
                 writeEndObject()
             }
         }
@@ -34,12 +42,12 @@
         val offered = entry.string(OFFERED)
         if (entry.keys.any { it !in FIELDS } || (releasing != null && offered != null)) return null
         return when {
-            releasing != null -> Assignment.Releasing(owner, releasing)
-            offered != null -> Assignment.Offered(owner, offered)
+            releasing != null -> Assignment.Releasing(owner, releasing, entry.string(TRACE))
+            offered != null -> Assignment.Offered(owner, offered, entry.string(TRACE))
             entry.size == 1 -> Assignment.Owned(owner)
             else -> null
         }
     }
 
-    private val FIELDS = setOf(OWNER, RELEASING, OFFERED)
+    private val FIELDS = setOf(OWNER, RELEASING, OFFERED, TRACE)
 }
--- a/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/OperatorFile.kt
@@ -28,10 +28,11 @@
         private val name: String,
     ) {
         fun settings(root: Map<String, Any?>): OperatorSettings {
-            known("", root, setOf("log", "tuning", "fleet", "sharing"))
+            known("", root, setOf("log", "tuning", "fleet", "sharing", "tracing"))
             val log = block(root, "log", setOf("format"))
             val tuning = block(root, "tuning", setOf("leader_lease_ms", "headroom", "idle_return_ms", "silent_return_ms"))
             val fleet = block(root, "fleet", setOf("machines"))
+            val tracing = block(root, "tracing", setOf("file"))
             val defaults = OperatorSettings()
             return OperatorSettings(
                 logFormat = format(log["format"]),
@@ -40,10 +41,14 @@
                 idleReturnMs = number("tuning", tuning, "idle_return_ms", 1_000.0, 86_400_000.0, defaults.idleReturnMs.toDouble()).toLong(),
                 silentReturnMs = tuning["silent_return_ms"]?.let { number("tuning", tuning, "silent_return_ms", 12_000.0, 3_600_000.0, 0.0).toLong() },
                 sharing = if ("sharing" in root) sharing(block(root, "sharing", setOf("share"))) else null,
+                traceFile = if ("tracing" in root) traceFile(tracing["file"]) else null,
                 fleetMachines = fleet["machines"]?.let { number("fleet", fleet, "machines", 1.0, 1_000_000.0, 0.0).toInt() },
             )
         }
 
+        private fun traceFile(value: Any?): String =
+            (value as? String)?.takeIf { it.isNotBlank() } ?: throw SettingsFault("$name: tracing.file: expected the name of a file, found $value")
+
         private fun sharing(map: Map<String, Any?>): SharingSettings {
             val shares = block("sharing.", map, "share", null)
             if (shares.isEmpty()) throw SettingsFault("$name: sharing.share: expected at least one block, found none")
--- /dev/null
+++ b/src/test/kotlin/mintfield/ownership/MoveTracingTest.kt
@@ -0,0 +1,84 @@
+package mintfield.ownership
+
+import mintfield.core.model.OperatorSettings
+import mintfield.core.ownership.Assignment
+import mintfield.core.ownership.AssignmentTable
+import mintfield.core.ownership.MoveStep
+import mintfield.core.ownership.MoveTracer
+import mintfield.io.json.Json
+import mintfield.io.json.asList
+import mintfield.io.json.asMap
+import mintfield.io.json.string
+import mintfield.io.ownership.AssignmentCodec
+import mintfield.io.settings.OperatorFile
+import mintfield.io.tracing.OpenTelemetryMoveTracer
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.io.File
+
+/** Moves as traces that several controllers write. */
+class MoveTracingTest {
+    @TempDir
+    lateinit var folder: File
+
+    private class Written(
+        val trace: String,
+        val id: String,
+        val parent: String?,
+        val name: String,
+    )
+
+    private fun spans(file: File): List<Written> =
+        file.readLines().flatMap { line ->
+            val root = Json.parseObject(line.toByteArray())!!
+            val scopes = root["resourceSpans"].asList()!!.flatMap { it.asMap()!!["scopeSpans"].asList()!! }
+            scopes.flatMap { it.asMap()!!["spans"].asList()!! }.map { it.asMap()!! }.map { s ->
+                Written(s.string("traceId")!!, s.string("spanId")!!, s.string("parentSpanId"), s.string("name")!!)
+            }
+        }
+
+    @Test
+    fun `the steps of a move at two controllers are one trace, and a context that cannot be read begins none`() {
+        val first = File(folder, "first")
+        val second = File(folder, "second")
+        OpenTelemetryMoveTracer(first.path, "plot-0").use { owner ->
+            OpenTelemetryMoveTracer(second.path, "plot-1").use { target ->
+                val trace = owner.ordered("m-1", "a", "b")
+                owner.ended(MoveStep.RELEASE, "m-1", "a", trace, 40)
+                target.ended(MoveStep.ADOPT, "m-1", "b", trace, 60)
+                target.ended(MoveStep.FIRST_REPORT, "m-2", "b", "00-nonsense", 60)
+            }
+        }
+        assertEquals(setOf("order", "release"), spans(first).map { it.name }.toSet())
+        assertEquals(listOf("adopt"), spans(second).map { it.name })
+        val order = spans(first).first { it.name == "order" }
+        val steps = (spans(first) + spans(second)).filter { it.name != "order" }
+        assertEquals(setOf(order.trace), steps.map { it.trace }.toSet())
+        assertEquals(setOf(order.id), steps.map { it.parent }.toSet())
+    }
+
+    @Test
+    fun `the context goes with the assignment, and nothing of it is written where moves are not traced`() {
+        val traced = mapOf("m-1" to Assignment.Releasing("a", "b", "00-1-2-01"), "m-2" to Assignment.Offered("a", "b", "00-3-4-01"))
+        assertEquals(traced, AssignmentCodec.parse(Json.parseObject(AssignmentCodec.write(traced))!!))
+        assertEquals("""{"m-1":{"owner":"a","releasing":"b"}}""", String(AssignmentCodec.write(mapOf("m-1" to Assignment.Releasing("a", "b")))))
+        assertNull(AssignmentCodec.parse(Json.parseObject("""{"m-1":{"owner":"a","trace":"00-1-2-01"}}""".toByteArray())!!))
+        assertNull(MoveTracer.Off.ordered("m-1", "a", "b"))
+        assertNull(OperatorSettings().traceFile)
+        assertEquals("/tmp/spans", OperatorFile.parse("tracing {\n file = \"/tmp/spans\"\n}\n", "o.hcl").traceFile)
+    }
+
+    @Test
+    fun `blocks of 4,000 machines with traced moves under way fit the smallest value`() {
+        val trace = "00-" + "a".repeat(32) + "-" + "b".repeat(16) + "-01"
+        val block =
+            (0 until 4_000)
+                .map { "m-%06d".format(it) }
+                .groupBy(AssignmentTable::blockOf)
+                .values
+                .maxBy { it.size }
+        assertEquals(true, AssignmentCodec.write(block.associateWith { Assignment.Releasing("print-floor", "folha-justa", trace) }).size < 8 * 1024)
+    }
+}
