--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -2,18 +2,12 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import mintfield.app.sharing.ShareLeader
-import mintfield.core.Commit
-import mintfield.core.CommitResult
-import mintfield.core.DirectCall
 import mintfield.core.ReportAnswer
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
-import mintfield.core.Write
 import mintfield.core.jobs.JobListener
 import mintfield.core.leadership.CancellationHorizon
 import mintfield.core.leadership.DirectReportReturn
@@ -22,17 +16,10 @@
 import mintfield.core.model.JobSpec
 import mintfield.core.model.Report
 import mintfield.core.ownership.WholeFleet
-import mintfield.io.http.Reply
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
-import mintfield.io.loop.Pacer
-import mintfield.io.store.Guard
-import mintfield.io.store.KeyWrite
-import mintfield.io.store.Keys
 import mintfield.io.store.LeaderKeys
 import mintfield.io.store.StoreResult
-import mintfield.io.store.TxnOutcome
-import mintfield.io.worker.WorkerCodec
 
 /** Carries out what the scheduler decides, for as long as this member leads. */
 class Leader(
@@ -54,19 +41,11 @@
     private val keys = LeaderKeys(shareLeader?.share?.name)
     val scheduler = Scheduler(settings, term, { view.live[it]?.withdrawn == true }, shareLeader?.ownership ?: WholeFleet) { Log.info(it) }
 
-    /** Its part of the permitted writes: the leaders of other shares write as well. */
-    private val permittedWrites =
-        settings.stateWriteRps / (
-            settings.operator.sharing
-                ?.shares
-                ?.size ?: 1
-        )
-    private val writes = Pacer(loop, permittedWrites * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
-    private val storeWrites = StoreWrites(keys, settings.valueKb, lease) { leaderValue(settings.member, nonce) }
+    private val commits =
+        LeaderCommits(loop, outside, keys, lease, scheduler, ::mayAct, ::checkLeaderKey, ::deposedByLease) { leaderValue(settings.member, nonce) }
+    private val direct = DirectCommandSender(loop, scope, outside, scheduler) { commits.kick() }
     private val replay = Replay(loop, outside, view, scheduler, keys, ::schedules)
     private val desk = CloudCalls(loop, outside.cloud, scheduler.fleet)
-    private val wake = Channel<Unit>(Channel.CONFLATED)
-    private var directCalls = 0
 
     init {
         shareLeader?.attach(scheduler)
@@ -116,28 +95,16 @@
         return directReturn.shouldCome(report.machine, report.zone, loop.nowMs())
     }
 
-    private var yieldUntilMs = 0L
-
     /** Changes of users wait for the store: leaves them room for a while. */
-    fun giveWay() {
-        yieldUntilMs = loop.nowMs() + Tuning.YIELD_MS
-        writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE_YIELDING
-    }
+    fun giveWay() = commits.giveWay()
 
-    private fun writesAvailable(): Double {
-        if (yieldUntilMs > 0 && loop.nowMs() > yieldUntilMs) {
-            yieldUntilMs = 0
-            writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE
-        }
-        return writes.available
-    }
-
-    fun kick() {
-        wake.trySend(Unit)
-    }
+    /** Something may have to be written. */
+    fun kick() = commits.kick()
 
     /** Counts [count] writes that were made besides its commits. */
-    fun wrote(count: Int) = writes.take(count.toDouble())
+    fun wrote(count: Int) = commits.wrote(count)
+
+    private fun deposedByLease() = deposed("the lease has ended")
 
     fun start() {
         part("renewal") { renew() }
@@ -148,7 +115,7 @@
                 part("assignments") { share.changeAssignments(this) }
                 part("tasks elsewhere") { share.followAwayTasks(this) }
             }
-            part("commits") { commitLoop() }
+            part("commits") { commits.run { if (mayAct()) direct.send() } }
             part("cloud") { cloudLoop() }
             part("time") { tickLoop() }
             part("view") { view.follow() }
@@ -207,75 +174,6 @@
 
     // ---- store ----
 
-    private suspend fun commitLoop() {
-        while (true) {
-            withTimeoutOrNull(IDLE_WAIT_MS) { wake.receive() }
-            while (mayAct()) {
-                val ops = minOf(settings.txnOps, writesAvailable().toInt())
-                val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops, yieldUntilMs > 0) ?: break
-                carryOut(commit)
-                sendDirect()
-                delay(Tuning.ROUND_MS)
-            }
-            sendDirect()
-        }
-    }
-
-    private suspend fun carryOut(wanted: Commit) {
-        val guards = LinkedHashMap<String, Guard>()
-        guards[keys.leader] = Guard(keys.leader, wanted.term)
-        val puts = ArrayList<KeyWrite>()
-        val taken = ArrayList<Write>()
-        var bytes = 0
-        for (w in wanted.writes) {
-            val writes = storeWrites.keyWrites(w)
-            val size = writes.sumOf { (it as? KeyWrite.Put)?.json?.size ?: 0 } + WRITE_OVERHEAD * (writes.size + 2)
-            if (puts.isNotEmpty() && (puts.size + writes.size > settings.txnOps || bytes + size > Tuning.MAX_TXN_BYTES)) break
-            storeWrites.guardsOf(w).forEach { guards[it.key] = it }
-            puts.addAll(writes)
-            bytes += size
-            taken.add(w)
-        }
-        scheduler.untaken(wanted.writes.drop(taken.size), loop.nowMs())
-        val commit = Commit(wanted.term, taken)
-        writes.take(puts.size.toDouble())
-        val sentAt = loop.nowMs()
-        val result =
-            when (val r = store.txn(guards.values.toList(), puts, urgent = true)) {
-                is StoreResult.Ok ->
-                    when (val o = r.value) {
-                        is TxnOutcome.Applied -> CommitResult.Done(o.revision)
-                        is TxnOutcome.Failed -> failed(o.keys)
-                        TxnOutcome.LeaseGone -> {
-                            deposed("the lease has ended")
-                            CommitResult.Refused
-                        }
-                    }
-
-                is StoreResult.Refused -> {
-                    Log.debug("a commit of ${puts.size} writes was refused with ${r.status}")
-                    if (r.status == TOO_MANY) giveWay()
-                    delay(Tuning.STORE_RETRY_MS)
-                    CommitResult.Refused
-                }
-
-                is StoreResult.Unknown -> {
-                    Log.info("no answer to a commit of ${puts.size} writes: ${r.why}; the term will rise")
-                    CommitResult.Unknown
-                }
-            }
-        outside.metrics.committed(loop.nowMs() - sentAt)
-        scheduler.committed(commit, result, loop.nowMs())
-    }
-
-    private suspend fun failed(keys: List<String>): CommitResult {
-        if (this.keys.leader in keys) {
-            checkLeaderKey()
-            return CommitResult.Refused
-        }
-        return CommitResult.Conflict(keys.mapNotNullTo(HashSet()) { if (it.startsWith(Keys.LIVE)) it.removePrefix(Keys.LIVE) else null })
-    }
-
     /** The leader key is not at our mark: a rewriting of our own without an answer went through, or our time is over. */
     suspend fun checkLeaderKey() {
         when (val r = store.get(keys.leader, urgent = true)) {
@@ -306,35 +204,6 @@
         }
     }
 
-    private fun sendDirect() {
-        if (!mayAct()) return
-        for (call in scheduler.directCalls(loop.nowMs(), scheduler.cluster.bounds.directCalls - directCalls)) {
-            directCalls++
-            scope.launch {
-                try {
-                    send(call)
-                } finally {
-                    directCalls--
-                }
-            }
-        }
-    }
-
-    private suspend fun send(call: DirectCall) {
-        val client = outside.worker(call.address) ?: return scheduler.directUnanswered(call, sent = false, loop.nowMs())
-        val body = WorkerCodec.orders(call.term, call.season, call.orders)
-        when (val r = client.call("POST", "/commands", body, Tuning.DIRECT_TIMEOUT_MS)) {
-            is Reply.Answer -> {
-                val report = if (r.status == 200 || r.status == 409) WorkerCodec.report(r.body) else null
-                if (r.status == 409) Log.info("${call.machine} refused orders of term ${call.term}, season ${call.season}")
-                scheduler.directAnswered(call, report, loop.nowMs())
-                kick()
-            }
-
-            is Reply.None -> scheduler.directUnanswered(call, r.sent, loop.nowMs())
-        }
-    }
-
     // ---- cloud and time ----
 
     private suspend fun cloudLoop() {
@@ -364,8 +233,6 @@
     companion object {
         private const val IDLE_WAIT_MS = 100L
         private const val LOG_EVERY = 16
-        private const val TOO_MANY = 429
-        private const val WRITE_OVERHEAD = 110
 
         fun leaderValue(
             member: String,
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/LeaderCommits.kt
@@ -0,0 +1,163 @@
+package mintfield.app
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import mintfield.core.Commit
+import mintfield.core.CommitResult
+import mintfield.core.Scheduler
+import mintfield.core.Tuning
+import mintfield.core.Write
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.loop.Pacer
+import mintfield.io.store.Guard
+import mintfield.io.store.KeyWrite
+import mintfield.io.store.Keys
+import mintfield.io.store.LeaderKeys
+import mintfield.io.store.StoreResult
+import mintfield.io.store.TxnOutcome
+
+/** Writes what the scheduler decides to the state service, one transaction at a time, at the leader's part of the permitted pace. */
+class LeaderCommits(
+    private val loop: EventLoop,
+    private val outside: Outside,
+    private val keys: LeaderKeys,
+    lease: Long,
+    private val scheduler: Scheduler,
+    private val mayAct: () -> Boolean,
+    private val checkLeaderKey: suspend () -> Unit,
+    private val leaseEnded: () -> Unit,
+    leaderValue: () -> ByteArray,
+) {
+    private val settings = outside.settings
+    private val store = outside.store
+    private val storeWrites = StoreWrites(keys, settings.valueKb, lease, leaderValue)
+
+    /** Its part of the permitted writes: the leaders of other shares write as well. */
+    private val permittedWrites =
+        settings.stateWriteRps / (
+            settings.operator.sharing
+                ?.shares
+                ?.size ?: 1
+        )
+    private val writes = Pacer(loop, permittedWrites * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
+    private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var yieldUntilMs = 0L
+
+    /** Changes of users wait for the store: leaves them room for a while. */
+    fun giveWay() {
+        yieldUntilMs = loop.nowMs() + Tuning.YIELD_MS
+        writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE_YIELDING
+    }
+
+    private fun writesAvailable(): Double {
+        if (yieldUntilMs > 0 && loop.nowMs() > yieldUntilMs) {
+            yieldUntilMs = 0
+            writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE
+        }
+        return writes.available
+    }
+
+    /** Something may have to be written. */
+    fun kick() {
+        wake.trySend(Unit)
+    }
+
+    /** Counts [count] writes that were made besides. */
+    fun wrote(count: Int) = writes.take(count.toDouble())
+
+    /** Writes as long as there is something to write, until cancelled; [afterEach] is called after each transaction and each wait. */
+    suspend fun run(afterEach: () -> Unit) {
+        while (true) {
+            withTimeoutOrNull(IDLE_WAIT_MS) { wake.receive() }
+            while (mayAct()) {
+                val ops = minOf(settings.txnOps, writesAvailable().toInt())
+                val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops, yieldUntilMs > 0) ?: break
+                carryOut(commit)
+                afterEach()
+                delay(Tuning.ROUND_MS)
+            }
+            afterEach()
+        }
+    }
+
+    /** What of a commit one transaction has room for. */
+    private class Transaction(
+        val taken: List<Write>,
+        val guards: List<Guard>,
+        val puts: List<KeyWrite>,
+    )
+
+    private suspend fun carryOut(wanted: Commit) {
+        val transaction = transaction(wanted)
+        scheduler.untaken(wanted.writes.drop(transaction.taken.size), loop.nowMs())
+        writes.take(transaction.puts.size.toDouble())
+        val sentAt = loop.nowMs()
+        val result = outcome(store.txn(transaction.guards, transaction.puts, urgent = true), transaction.puts.size)
+        outside.metrics.committed(loop.nowMs() - sentAt)
+        scheduler.committed(Commit(wanted.term, transaction.taken), result, loop.nowMs())
+    }
+
+    private fun transaction(wanted: Commit): Transaction {
+        val guards = LinkedHashMap<String, Guard>()
+        guards[keys.leader] = Guard(keys.leader, wanted.term)
+        val puts = ArrayList<KeyWrite>()
+        val taken = ArrayList<Write>()
+        var bytes = 0
+        for (w in wanted.writes) {
+            val writes = storeWrites.keyWrites(w)
+            val size = writes.sumOf { (it as? KeyWrite.Put)?.json?.size ?: 0 } + WRITE_OVERHEAD * (writes.size + 2)
+            if (puts.isNotEmpty() && (puts.size + writes.size > settings.txnOps || bytes + size > Tuning.MAX_TXN_BYTES)) break
+            storeWrites.guardsOf(w).forEach { guards[it.key] = it }
+            puts.addAll(writes)
+            bytes += size
+            taken.add(w)
+        }
+        return Transaction(taken, guards.values.toList(), puts)
+    }
+
+    private suspend fun outcome(
+        result: StoreResult<TxnOutcome>,
+        puts: Int,
+    ): CommitResult =
+        when (result) {
+            is StoreResult.Ok -> answered(result.value)
+            is StoreResult.Refused -> {
+                Log.debug("a commit of $puts writes was refused with ${result.status}")
+                if (result.status == TOO_MANY) giveWay()
+                delay(Tuning.STORE_RETRY_MS)
+                CommitResult.Refused
+            }
+            is StoreResult.Unknown -> {
+                Log.info("no answer to a commit of $puts writes: ${result.why}; the term will rise")
+                CommitResult.Unknown
+            }
+        }
+
+    private suspend fun answered(outcome: TxnOutcome): CommitResult =
+        when (outcome) {
+            is TxnOutcome.Applied -> CommitResult.Done(outcome.revision)
+            is TxnOutcome.Failed -> failed(outcome.keys)
+            TxnOutcome.LeaseGone -> {
+                leaseEnded()
+                CommitResult.Refused
+            }
+        }
+
+    private suspend fun failed(failedKeys: List<String>): CommitResult {
+        if (keys.leader in failedKeys) {
+            checkLeaderKey()
+            return CommitResult.Refused
+        }
+        return CommitResult.Conflict(failedKeys.mapNotNullTo(HashSet()) { if (it.startsWith(Keys.LIVE)) it.removePrefix(Keys.LIVE) else null })
+    }
+
+    private companion object {
+        const val IDLE_WAIT_MS = 100L
+        const val TOO_MANY = 429
+
+        /** Bytes of a write or guard in a transaction besides its value. */
+        const val WRITE_OVERHEAD = 110
+    }
+}
--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -19,6 +19,7 @@
 
 private const val CONFIG = "config"
 private const val OPERATOR = "operator"
+private const val JSON = "json"
 private const val HELP = "help"
 private const val VERSION_OPTION = "version"
 
@@ -28,11 +29,12 @@
 private const val MACHINES = "machines"
 
 private const val USAGE =
-    "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] | machines move MACHINE SHARE | machines cancel MACHINE | " +
-        "machines drain CONTROLLER | machines resume CONTROLLER"
+    "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] [--json] | " +
+        "machines move MACHINE SHARE | machines cancel MACHINE | machines drain CONTROLLER | machines resume CONTROLLER | machines unshare"
 private const val COMMANDS =
     "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it; " +
-        "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back, has a controller give its shares to others or lead again"
+        "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back, " +
+        "has a controller give its shares to others or lead again, ends the sharing"
 
 /** Exit code for settings or arguments that cannot be used. */
 private const val BAD_USAGE = 2
@@ -41,6 +43,7 @@
     Options()
         .addOption(Option(null, CONFIG, true, "serve with the settings of this file (TOML)"))
         .addOption(Option(null, OPERATOR, true, "operators' own settings (HCL)"))
+        .addOption(Option(null, JSON, false, "machines show: print JSON"))
         .addOption(Option("h", HELP, false, "show this help"))
         .addOption(Option("V", VERSION_OPTION, false, "show the version"))
 
@@ -60,7 +63,7 @@
         when (words.firstOrNull()) {
             null -> serve(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR))
             CHECK -> check(words.drop(1).singleOrNull() ?: refuse("$CHECK expects one FILE"))
-            MACHINES -> machines(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR), words.drop(1))
+            MACHINES -> machines(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR), line.hasOption(JSON), words.drop(1))
             WARM_UP -> {
                 WarmUp().run()
                 exitProcess(0)
@@ -94,11 +97,12 @@
 private fun machines(
     config: String?,
     operatorFile: String?,
+    json: Boolean,
     words: List<String>,
 ) {
     val code =
-        MachinesCommand(settings(config, operatorFile), ::println).run(words)
-            ?: refuse("$MACHINES expects show [SHARE], move MACHINE SHARE, cancel MACHINE, drain CONTROLLER or resume CONTROLLER")
+        MachinesCommand(settings(config, operatorFile), json, ::println).run(words)
+            ?: refuse("$MACHINES expects show [SHARE], move MACHINE SHARE, cancel MACHINE, drain CONTROLLER, resume CONTROLLER or unshare")
     exitProcess(code)
 }
 
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -221,8 +221,8 @@
     private fun ready(): Response =
         when {
             !view.loaded || outside.types.isEmpty() -> Response.error(503, "starting", Tuning.RETRY_AFTER_S)
-            peers.aloneRefused() -> Response.error(503, "the state service refuses this node alone", Tuning.RETRY_AFTER_S)
-            peers.cutOff() -> Response.error(503, "cut off from the state service and the other controllers", Tuning.RETRY_AFTER_S)
+            peers.isolation.isRefusedAlone(loop.nowMs()) -> Response.error(503, "the state service refuses this node alone", Tuning.RETRY_AFTER_S)
+            peers.isolation.isCutOff(loop.nowMs()) -> Response.error(503, "cut off from the state service and the other controllers", Tuning.RETRY_AFTER_S)
             else -> Response(200, Json.obj { writeBooleanField("ready", true) })
         }
 
--- a/src/main/kotlin/mintfield/app/WorkerReports.kt
+++ b/src/main/kotlin/mintfield/app/WorkerReports.kt
@@ -30,7 +30,7 @@
     suspend fun checkin(body: ByteArray): Response {
         val member = leaderships.forReport(body) ?: return Response(421, Json.obj { })
         val leader = member.leader ?: return elsewhere(member, body)
-        if (isolated(leader)) {
+        if (peers.isolation.sendsWorkersAway(leader.leaseLeftMs(), loop.nowMs())) {
             val report = reader.report(body) ?: return Response.error(400, "not a report")
             if (probe.sendOn(report.machine, loop.nowMs())) return Response(421, Json.obj { })
         }
@@ -40,12 +40,6 @@
     /** Where workers are to report while the controller that they would try after this one is silent. */
     fun parkedAt(): String? = parking.place(peers::silent, peers::heardNow)
 
-    /**
-     * A leader past its lease goes on answering in an outage, so that the workers keep theirs. One that reaches neither
-     * the store nor a sibling may be cut off alone: then its answers hold workers that a successor waits for.
-     */
-    private fun isolated(leader: Leader) = leader.leaseLeftMs() < -Tuning.ISOLATED_MS && peers.storeSilent() && !peers.heardAny()
-
     private suspend fun answer(
         leader: Leader,
         body: ByteArray,
--- a/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachineOrders.kt
@@ -45,7 +45,10 @@
     val shares: List<ShareStatus>,
     val moves: Map<String, Assignment>,
     val drained: Set<String>,
-)
+) {
+    /** The shares that [controller] leads. */
+    fun ledBy(controller: String): List<String> = shares.filter { it.leader == controller }.map { it.name }
+}
 
 /** Operators' orders, carried out on the state service itself: no controller need be up for them. */
 class MachineOrders(
@@ -99,6 +102,20 @@
         return OrderOutcome.Unavailable
     }
 
+    /** Lets one controller lead all machines again. Only while no share is led and no job is unfinished. */
+    suspend fun endSharing(): OrderOutcome {
+        val key = LeaderKeys().leader
+        val read = store.get(key) as? StoreResult.Ok ?: return OrderOutcome.Unavailable
+        val mark = read.value?.takeIf(SharingActivation::isMark)?.mark ?: return OrderOutcome.Refused("machines are not shared")
+        val leaders = leaders() ?: return OrderOutcome.Unavailable
+        leaders.values.firstOrNull()?.let { return OrderOutcome.Refused("$it leads a share; stop all controllers first") }
+        val jobs = (store.list(Keys.LIVE, null, 1) as? StoreResult.Ok)?.value ?: return OrderOutcome.Unavailable
+        jobs.entries.firstOrNull()?.let { return OrderOutcome.Refused("job ${it.key.removePrefix(Keys.LIVE)} is unfinished") }
+        val nobodyLeads = settings.shares.map { Guard(LeaderKeys(it.name).leader, 0) }
+        val result = store.txn(nobodyLeads + Guard(key, mark), listOf(KeyWrite.Delete(key)))
+        return if ((result as? StoreResult.Ok)?.value is TxnOutcome.Applied) OrderOutcome.Done else OrderOutcome.Unavailable
+    }
+
     private suspend fun change(
         machine: String,
         step: (Assignment?, Shares) -> Step,
--- a/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.launch
 import mintfield.app.Outside
 import mintfield.core.model.Settings
-import mintfield.core.ownership.Assignment
 import mintfield.core.ownership.Refusal
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.scope
@@ -13,6 +12,8 @@
 /** The command `machines`: shows who owns machines and which of them move, orders moves and takes them back, drains controllers. */
 class MachinesCommand(
     private val settings: Settings,
+    /** Whether `show` prints JSON. */
+    private val json: Boolean = false,
     private val print: (String) -> Unit,
 ) {
     private val controllers = (settings.siblings.map { it.member } + settings.member).sorted()
@@ -25,6 +26,7 @@
             words.size == 2 && words[0] == "show" -> onLoop { show(it, words[1]) }
             words.size == 3 && words[0] == "move" -> onLoop { told(it.move(words[1], words[2])) }
             words.size == 2 && words[0] == "cancel" -> onLoop { told(it.cancel(words[1])) }
+            words == listOf("unshare") -> onLoop { told(it.endSharing()) }
             words.size == 2 && words[0] == "drain" -> onLoop { told(it.drain(words[1])) }
             words.size == 2 && words[0] == "resume" -> onLoop { told(it.resume(words[1])) }
             else -> null
@@ -53,12 +55,7 @@
 
     private suspend fun show(orders: MachineOrders): Int {
         val status = orders.status() ?: return unavailable()
-        status.shares.forEach { print("${it.name}: ${it.machines.size} machines, led by ${it.leader ?: "nobody"}") }
-        status.moves.forEach { (machine, move) -> print("$machine: ${describe(move)}") }
-        status.drained.forEach { controller ->
-            val led = status.shares.filter { it.leader == controller }.map { it.name }
-            print("$controller: drained, leads ${if (led.isEmpty()) "nothing" else led.joinToString(", ")}")
-        }
+        if (json) print(OwnershipPrinter.json(status)) else OwnershipPrinter.lines(status).forEach(print)
         return DONE
     }
 
@@ -72,13 +69,6 @@
         return DONE
     }
 
-    private fun describe(move: Assignment) =
-        when (move) {
-            is Assignment.Owned -> "owned by ${move.owner}"
-            is Assignment.Releasing -> "from ${move.owner} to ${move.target}, to be let go"
-            is Assignment.Offered -> "from ${move.owner} to ${move.target}, to be adopted"
-        }
-
     private fun told(outcome: OrderOutcome): Int =
         when (outcome) {
             OrderOutcome.Done -> DONE.also { print("done") }
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/sharing/OwnershipPrinter.kt
@@ -0,0 +1,66 @@
+package mintfield.app.sharing
+
+import mintfield.core.ownership.Assignment
+import mintfield.io.json.Json
+
+/** Presents who owns what to operators, as lines or, for programs, as JSON by docs/schemas/machines-show.schema.json. */
+object OwnershipPrinter {
+    fun lines(status: OwnershipStatus): List<String> {
+        val shares = status.shares.map { "${it.name}: ${it.machines.size} machines, led by ${it.leader ?: "nobody"}" }
+        val moves = status.moves.map { (machine, move) -> "$machine: ${describe(move)}" }
+        val drained =
+            status.drained.map { controller ->
+                "$controller: drained, leads ${status.ledBy(controller).joinToString(", ").ifEmpty { "nothing" }}"
+            }
+        return shares + moves + drained
+    }
+
+    fun json(status: OwnershipStatus): String =
+        String(
+            Json.obj {
+                writeArrayFieldStart("shares")
+                for (share in status.shares) {
+                    writeStartObject()
+                    writeStringField("name", share.name)
+                    writeStringField("leader", share.leader)
+                    writeNumberField("machines", share.machines.size)
+                    writeEndObject()
+                }
+                writeEndArray()
+                writeArrayFieldStart("moves")
+                for ((machine, move) in status.moves) {
+                    writeStartObject()
+                    writeStringField("machine", machine)
+                    writeStringField("state", if (move is Assignment.Offered) "offered" else "releasing")
+                    writeStringField("from", move.owner)
+                    writeStringField("to", targetOf(move))
+                    writeEndObject()
+                }
+                writeEndArray()
+                writeArrayFieldStart("drained")
+                for (controller in status.drained) {
+                    writeStartObject()
+                    writeStringField("controller", controller)
+                    writeArrayFieldStart("leads")
+                    status.ledBy(controller).forEach(::writeString)
+                    writeEndArray()
+                    writeEndObject()
+                }
+                writeEndArray()
+            },
+        )
+
+    private fun describe(move: Assignment) =
+        when (move) {
+            is Assignment.Owned -> "owned by ${move.owner}"
+            is Assignment.Releasing -> "from ${move.owner} to ${move.target}, to be let go"
+            is Assignment.Offered -> "from ${move.owner} to ${move.target}, to be adopted"
+        }
+
+    private fun targetOf(move: Assignment) =
+        when (move) {
+            is Assignment.Owned -> move.owner
+            is Assignment.Releasing -> move.target
+            is Assignment.Offered -> move.target
+        }
+}
--- a/src/main/kotlin/mintfield/app/sharing/SharingActivation.kt
+++ b/src/main/kotlin/mintfield/app/sharing/SharingActivation.kt
@@ -59,8 +59,6 @@
         return null
     }
 
-    private fun isMark(entry: Entry) = entry.data.string(MEMBER) == SHARES && entry.lease == null
-
     private suspend fun put(): Long? {
         val value = Json.obj { writeStringField(MEMBER, SHARES) }
         val result = store.txn(listOf(Guard(keys.leader, 0)), listOf(KeyWrite.Put(keys.leader, value)), urgent = true)
@@ -81,6 +79,10 @@
 
         /** In place of a controller's name; parentheses occur in none. */
         const val SHARES = "(shares)"
+
+        /** Whether [entry], of the key of the only leadership, is the mark. */
+        fun isMark(entry: Entry): Boolean = entry.data.string(MEMBER) == SHARES && entry.lease == null
+
         private const val UNANSWERED = "the state service does not answer"
     }
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -19,10 +19,8 @@
 import mintfield.core.model.Report
 import mintfield.core.model.ReportedState
 import mintfield.core.model.Settings
-import mintfield.core.model.Shape
 import mintfield.core.ownership.Ownership
 import mintfield.core.ownership.WholeFleet
-import mintfield.core.placement.Round
 
 /** How a report is answered. */
 sealed interface ReportAnswer {
@@ -59,17 +57,12 @@
     val cluster = Cluster(settings, term, ownership, log)
     private val renewalBound = RenewalBound(settings)
     internal val reports = ReportHandler(cluster, ::knownWithdrawn, log)
-    private val round = Round(cluster, log)
     val fleet = FleetManager(cluster, log)
     val disowning = SilentZones(cluster, log)
 
     private val ledger = RoundLedger(cluster, fleet)
+    private val commits = CommitPlanner(cluster, fleet, disowning, ledger, reports.blame, ::jobRemoved, log)
     private val direct = DirectCommands(cluster, reports, log)
-    private var lastRaiseMs = Machine.NEVER
-    private var raiseNow = false
-    private var lastRoundMs = Machine.NEVER
-    private var lastReplicaRoundMs = Machine.NEVER
-    private val hintBlocks = HintBlocks(cluster)
 
     /** Workers that were answered before the replay, and when the last of them came for the first time. */
     private val renewed = HashSet<String>()
@@ -276,107 +269,19 @@
 
     // ---- the store ----
 
-    /**
-     * The next transaction: a round of placement first, then whatever is to be written, the urgent first.
-     * [ops] is how many writes the pace allows now. Null if there is nothing to write.
-     */
+    /** The next transaction of at most [ops] writes; null if there is nothing to write. [yielding]: users wait for their own writes. */
     fun nextCommit(
         nowMs: Long,
         wallMs: Long,
         ops: Int,
         yielding: Boolean = false,
-    ): Commit? {
-        if (!loaded || ops <= 0) return null
-        if (raiseNow || (cluster.raiseWanted && nowMs - lastRaiseMs >= Tuning.RAISE_TERM_GAP_MS)) {
-            return Commit(cluster.term, listOf(Write.RaiseTerm))
-        }
-        disowning.look(nowMs, wallMs)
-        val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
-        place(nowMs, wallMs, scarce)
-        val writes = ArrayList<Write>()
-        // Machines wait for the one, and a successor's proof hangs on the other.
-        disowning.unwanted.take(ops).mapTo(writes) { Write.Own(it) }
-        disowning.wanted.take(ops - writes.size).mapTo(writes) { Write.Disown(it) }
-        var left = ops - writes.size
-        for (job in cluster.jobs.values) {
-            if (left <= 0) break
-            if (job.allDone && !job.unreadable && !job.finishing && !job.withdrawn && job.activeAttempts.isEmpty()) {
-                if (left < 2 && writes.isNotEmpty()) continue
-                writes.add(Write.Finish(job))
-                left -= 2
-            }
-        }
-        ledger.refresh(nowMs)
-        left -= ledger.add(writes, left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
-        if (left > 0 && fleet.wishes.isNotEmpty()) {
-            writes.add(Write.Intend(fleet.wishes.first()))
-            left--
-        }
-        // An intent left behind is carried out again by the next leader, at the cloud's slow pace.
-        for (plea in fleet.spentIntents) {
-            if (left <= 0) break
-            writes.add(Write.DropIntent(plea))
-            left--
-        }
-        // While users wait for their writes, what is left of ended jobs may wait for them.
-        if (yielding && ledger.leftOver.size < MOST_LEFT_OVER) return if (writes.isEmpty()) null else Commit(cluster.term, writes)
-        for (job in cluster.jobs.values) {
-            if (left <= 0) break
-            if (job.withdrawn && job.activeAttempts.isEmpty() && !job.finishing) {
-                writes.add(Write.Sweep(job))
-                left--
-            }
-        }
-        if (left > 0) {
-            hintBlocks.due(nowMs)?.let {
-                writes.add(it)
-                left--
-            }
-        }
-        ledger.leftOver.take(maxOf(0, left - SWEEP_RESERVE)).mapTo(writes) { Write.SweepRound(it) }
-        return if (writes.isEmpty()) null else Commit(cluster.term, writes)
-    }
-
-    /** A round, if one is due. Replicas do not wait for the next one of arrays, and do not bring it forward either. */
-    private fun place(
-        nowMs: Long,
-        wallMs: Long,
-        scarce: Boolean,
-    ) {
-        val most = cluster.roundTasks()
-        if (nowMs - lastRoundMs >= if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
-            lastRoundMs = nowMs
-            lastReplicaRoundMs = nowMs
-            reports.blame.look(nowMs)
-            round.run(nowMs, wallMs, most)
-            return
-        }
-        if (nowMs - lastReplicaRoundMs < Tuning.ROUND_MS) return
-        if (cluster.jobs.values.none { it.spec.shape == Shape.SERVICE && !it.withdrawn && nowMs >= it.notBeforeMs && it.askable > 0 }) return
-        // What finds no room now will hardly find any before the next round of all.
-        lastReplicaRoundMs = if (round.run(nowMs, wallMs, most, replicasOnly = true) > 0) nowMs else nowMs + Tuning.ARRAY_ROUND_MS
-    }
+    ): Commit? = if (loaded && ops > 0) commits.next(nowMs, wallMs, ops, yielding) else null
 
     fun committed(
         commit: Commit,
         result: CommitResult,
         nowMs: Long,
-    ) {
-        when (result) {
-            is CommitResult.Done -> commit.writes.forEach { written(it, result.revision, nowMs) }
-            is CommitResult.Conflict -> {
-                ledger.putBack(commit.writes, nowMs)
-                result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, commit.marks[id], nowMs) } }
-            }
-            CommitResult.Refused -> ledger.putBack(commit.writes, nowMs)
-            CommitResult.Unknown -> {
-                ledger.putBack(commit.writes, nowMs)
-                // It may be there all the same; its key must go in the end, whether or not it is.
-                commit.writes.forEach { if (it is Write.Round) ledger.leftOver.add(it.key) }
-                raiseNow = true
-            }
-        }
-    }
+    ) = commits.committed(commit, result, nowMs)
 
     /** Writes that found no room in their transaction. */
     fun untaken(
@@ -384,78 +289,14 @@
         nowMs: Long,
     ) = ledger.putBack(writes, nowMs)
 
-    /** The job changed under us, by its user's abort; the view will tell. What was never written was never sent. */
-    private fun conflicted(
-        job: Job,
-        guardedMark: Long?,
-        nowMs: Long,
-    ) {
-        // The view may have told of the change before the answer came; then nothing else will.
-        if (job.mark != guardedMark) return
-        job.activeAttempts.filter { it.state == AttemptState.PLANNING }.forEach { cluster.stop(it, nowMs, "the job changed") }
-        job.finishing = true
-    }
-
-    private fun written(
-        write: Write,
-        revision: Long,
-        nowMs: Long,
-    ) {
-        when (write) {
-            is Write.Round -> ledger.written(write, revision, nowMs)
-            is Write.SweepRound -> ledger.leftOver.remove(write.key)
-            is Write.Finish -> {
-                write.job.finishing = true
-                val job = write.job
-                val places = seconds(job.lastPlanAtMs - job.seenAtMs)
-                val images = seconds(maxOf(0, job.lastRunAtMs - job.lastPlanAtMs))
-                val run = seconds(nowMs - maxOf(job.lastRunAtMs, job.lastPlanAtMs))
-                log(
-                    "${job.id} (${job.spec.jobClass}, ${job.spec.tasks} tasks) is done: $places s to its last place, $images s to its last start, $run s from there",
-                )
-                finished(write.job, nowMs)
-            }
-            is Write.Sweep -> {
-                log("${write.job.spec.id} is swept")
-                finished(write.job, nowMs)
-            }
-            is Write.Intend -> {
-                fleet.wishes.remove(write.intent)
-                fleet.intents[write.intent.plea] = write.intent
-            }
-            is Write.Remember -> {}
-            is Write.Disown -> disowning.written(write.record)
-            is Write.Own -> disowning.deleted(write.key)
-            is Write.DropIntent -> fleet.spentIntents.remove(write.plea)
-            Write.RaiseTerm -> raised(revision, nowMs)
-        }
-    }
-
     /** A write without an answer may yet be carried out: the term must rise, so that its guard fails. */
-    fun fenceLateWrites() {
-        raiseNow = true
-    }
+    fun fenceLateWrites() = commits.fenceLateWrites()
 
     /** The leader key was rewritten: starts under lower terms are void wherever the new one is seen. */
     fun raised(
         term: Long,
         nowMs: Long,
-    ) {
-        log("term ${cluster.term} becomes $term")
-        cluster.term = term
-        cluster.raiseWanted = false
-        raiseNow = false
-        lastRaiseMs = nowMs
-    }
-
-    private fun seconds(ms: Long) = "%.1f".format(ms / 1000.0)
-
-    private fun finished(
-        job: Job,
-        nowMs: Long,
-    ) {
-        jobRemoved(job.spec.id, nowMs)
-    }
+    ) = commits.raised(term, nowMs)
 
     // ---- the cloud ----
 
@@ -493,12 +334,4 @@
         return "term ${cluster.term}: ${cluster.jobs.size} jobs, $doubted of them fail everywhere, attempts $attempts, $waiting waiting, " +
             "machines $by, ${fleet.lateCount(nowMs)} late, ${free.toInt()} CPUs free"
     }
-
-    private companion object {
-        /** Records that may wait to be swept while users wait; more would cost a successor too much time to read. */
-        const val MOST_LEFT_OVER = 300
-
-        /** Writes of a transaction that are kept from sweeping, as something urgent may come at any moment. */
-        const val SWEEP_RESERVE = 6
-    }
 }
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -16,6 +16,9 @@
 import mintfield.core.SocketBounds
 import mintfield.core.Tuning
 import mintfield.core.leadership.CancellationPage
+import mintfield.core.leadership.Isolation
+import mintfield.core.leadership.SiblingHearing
+import mintfield.core.leadership.StoreReach
 import mintfield.core.model.Settings
 import mintfield.core.ownership.ShareLoad
 import mintfield.io.http.HttpClient
@@ -93,17 +96,12 @@
         suspend fun relayed(body: ByteArray): Response
     }
 
-    private class Heard(
-        val note: PeerNote,
-        val atMs: Long,
-    )
+    private val hearing = SiblingHearing(loop.nowMs())
+    private val store = StoreReach()
 
-    private val startedAtMs = loop.nowMs()
-    private val heard = HashMap<String, Heard>()
-    private val refusedAtMs = HashMap<String, Long>()
+    /** What this controller may not do while it is cut off. */
+    val isolation = Isolation(store, hearing)
     private val progressTold = HashMap<String, ProgressBoard>()
-    private var silentSinceMs: Long? = null
-    private var refusedSinceMs: Long? = null
 
     private val bounds = SocketBounds(settings)
     private val progressPages = settings.siblings.associate { it.member to ProgressPages() }
@@ -137,7 +135,7 @@
             val answer = decode(PeerNoteAnswer.serializer(), reply.body) ?: return
             owner.siblingCancelled(sibling, CancellationPage(answer.incarnation, answer.from, answer.cancelled, answer.total), from)
         }
-        if (reply is Reply.None && loop.nowMs() - from < Tuning.PEER_TIMEOUT_MS / 2) refusedAtMs[sibling] = loop.nowMs()
+        if (reply is Reply.None && loop.nowMs() - from < Tuning.PEER_TIMEOUT_MS / 2) hearing.refused(sibling, loop.nowMs())
     }
 
     private fun note(sibling: String): PeerNote {
@@ -148,7 +146,7 @@
         val page = progressPages.getValue(sibling).next(progress)
         return PeerNote(
             settings.member,
-            refusedSinceMs == null,
+            store.served,
             terms.isNotEmpty(),
             page,
             term,
@@ -198,13 +196,12 @@
      * would else come back later, and through the same open connection to the same node.
      */
     suspend fun relayUser(request: HttpMessage): Response? {
-        if (refusedSinceMs == null) return null
-        val now = loop.nowMs()
-        val sibling = heard.values.firstOrNull { it.note.storeServes && now - it.atMs < Tuning.PEER_FRESH_MS } ?: return null
-        val client = clients[sibling.note.member] ?: return null
+        if (store.served) return null
+        val sibling = hearing.served(loop.nowMs()) ?: return null
+        val client = clients[sibling] ?: return null
         val relayed = RelayedRequest(request.first, request.second, request.body)
         val bytes = ProtoBuf.encodeToByteArray(RelayedRequest.serializer(), relayed)
-        val answer = passOn(sibling.note.member, client, "/user", bytes, Tuning.PEER_TIMEOUT_MS) ?: return null
+        val answer = passOn(sibling, client, "/user", bytes, Tuning.PEER_TIMEOUT_MS) ?: return null
         return Response(answer.status, answer.body, answer.retryAfterS.takeIf { it > 0 })
     }
 
@@ -233,7 +230,7 @@
             return Response(200, ProtoBuf.encodeToByteArray(RelayAnswer.serializer(), out))
         }
         val note = decode(PeerNote.serializer(), request.body) ?: return Response.error(400, "not a note")
-        heard[note.member] = Heard(note, loop.nowMs())
+        hearing.heard(note.member, note.storeServes, loop.nowMs())
         if (note.crowded) owner.siblingCrowded()
         if (note.leading) {
             val told = progressTold.getOrPut(note.member) { ProgressBoard() }
@@ -260,51 +257,32 @@
         }
 
     /** Whether the store has not served this node for a while. */
-    fun storeSilent(): Boolean = refusedSinceMs?.let { loop.nowMs() - it > Tuning.ALONE_REFUSED_MS } ?: false
+    fun storeSilent(): Boolean = store.unservedForLong(loop.nowMs())
 
-    /** Whether any sibling has been heard lately. */
-    fun heardAny(): Boolean = heard.values.any { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS }
+    /** Whether nothing at all has come from the store for a while. */
+    fun storeCut(): Boolean = store.cut(loop.nowMs())
 
-    /**
-     * Whether [sibling] has been silent for longer than a restart takes; right after the start of this node none is. One that
-     * refuses connections is not silent: whoever tries it there is told at once.
-     */
-    fun silent(sibling: String): Boolean {
-        val now = loop.nowMs()
-        if (now - (refusedAtMs[sibling] ?: startedAtMs) < Tuning.PEER_FRESH_MS) return false
-        return now - (heard[sibling]?.atMs ?: startedAtMs) > Tuning.PARK_AFTER_MS
-    }
+    /** Whether [sibling] has been silent for longer than a restart takes. */
+    fun silent(sibling: String): Boolean = hearing.isSilent(sibling, loop.nowMs())
 
-    fun heardNow(sibling: String): Boolean = heard[sibling]?.let { loop.nowMs() - it.atMs < Tuning.PEER_FRESH_MS } ?: false
+    fun heardNow(sibling: String): Boolean = hearing.hears(sibling, loop.nowMs())
 
     /** Whether [sibling] has been heard lately, and the store serves it. */
-    fun upAndServed(sibling: String): Boolean = heardNow(sibling) && heard[sibling]?.note?.storeServes == true
+    fun upAndServed(sibling: String): Boolean = hearing.isServed(sibling, loop.nowMs())
 
     /** A sibling other than [leader] that has been heard lately. */
-    fun heardBesides(leader: String): String? = heard.entries.firstOrNull { it.key != leader && loop.nowMs() - it.value.atMs < Tuning.PEER_FRESH_MS }?.key
+    fun heardBesides(leader: String): String? = hearing.heardBesides(leader, loop.nowMs())
 
     /** What leading siblings last told of the progress of job [id]. */
     fun progress(id: String): Progress? = progressTold.values.firstNotNullOfOrNull { it[id] }
 
-    fun storeContact(contact: StoreClient.Contact) {
-        val now = loop.nowMs()
-        if (contact == StoreClient.Contact.SERVED) refusedSinceMs = null else refusedSinceMs = refusedSinceMs ?: now
-        if (contact == StoreClient.Contact.SILENT) silentSinceMs = silentSinceMs ?: now else silentSinceMs = null
-    }
-
-    /** Whether nothing at all has come from the store for a while: unlike an outage, in which it refuses, this is a cut. */
-    fun storeCut(): Boolean = silentSinceMs?.let { loop.nowMs() - it > Tuning.ALONE_REFUSED_MS } ?: false
-
-    /** Cut off from the store, and no sibling to be heard: whoever comes here had better go elsewhere. */
-    fun cutOff(): Boolean = storeCut() && !heardAny()
-
-    /** Whether the store has refused this node for a while although it serves a sibling. */
-    fun aloneRefused(): Boolean {
-        val since = refusedSinceMs ?: return false
-        val now = loop.nowMs()
-        if (now - since < Tuning.ALONE_REFUSED_MS) return false
-        return heard.values.any { it.note.storeServes && now - it.atMs < Tuning.PEER_FRESH_MS }
-    }
+    /** Takes in what became of a call to the store. */
+    fun storeContact(contact: StoreClient.Contact) =
+        when (contact) {
+            StoreClient.Contact.SERVED -> store.served()
+            StoreClient.Contact.REFUSED -> store.refused(loop.nowMs())
+            StoreClient.Contact.SILENT -> store.silent(loop.nowMs())
+        }
 
     private companion object {
         const val GUESTS = "/guests"
