--- a/src/test/kotlin/mintfield/ownership/HandoverTest.kt
+++ b/src/test/kotlin/mintfield/ownership/HandoverTest.kt
@@ -4,6 +4,7 @@
 import mintfield.core.CommitResult
 import mintfield.core.ReportAnswer
 import mintfield.core.Scheduler
+import mintfield.core.Write
 import mintfield.core.model.EndCause
 import mintfield.core.model.Order
 import mintfield.core.model.ReportedState
@@ -111,12 +112,18 @@
         leads.forEach(::show)
     }
 
-    /** A leader of a with the job's two tasks at work on the machine. */
-    private fun running(): Lead {
+    /** A leader of a whose machine has reported, and whose job waits. */
+    private fun ready(): Lead {
         val a = Lead("a")
         a.report(1, 0)
         a.report(2, a.scheduler.cluster.term)
         now += 1_000
+        return a
+    }
+
+    /** A leader of a with the job's two tasks at work on the machine. */
+    private fun running(): Lead {
+        val a = ready()
         val commit = a.scheduler.nextCommit(now, now, 16)!!
         a.scheduler.committed(commit, CommitResult.Done(++revision), now)
         a.report(3, a.scheduler.cluster.term)
@@ -257,6 +264,45 @@
         assertNull(truth)
     }
 
+    @Test
+    fun `a machine is not let go while a plan for it is being written, and what was never sent is withdrawn`() {
+        val a = ready()
+        val commit = a.scheduler.nextCommit(now, now, 16)!!
+        order(Handover.order(truth, "b", shares), a)
+        assertEquals(emptyList<Kind>(), a.kinds())
+        a.scheduler.committed(commit, CommitResult.Done(++revision), now)
+        assertEquals(listOf(Kind.RELEASE), a.kinds())
+        assertTrue(tasks(a, ReportedState.RUNNING).isEmpty())
+    }
+
+    @Test
+    fun `a machine is not let go while a direct command has no answer, and a start that may have been carried out stays`() {
+        val a = ready()
+        a.scheduler.committed(a.scheduler.nextCommit(now, now, 16)!!, CommitResult.Done(++revision), now)
+        val call = a.scheduler.directCalls(now, 10).single()
+        order(Handover.order(truth, "b", shares), a)
+        assertEquals(emptyList<Kind>(), a.kinds())
+        a.scheduler.directUnanswered(call, sent = true, now)
+        assertEquals(listOf(Kind.RELEASE), a.kinds())
+        assertEquals(2, tasks(a, ReportedState.RUNNING).size)
+    }
+
+    @Test
+    fun `a machine that comes back to its former owner is not believed before its worker has seen the new token`() {
+        val a = running()
+        val b = moved(a)
+        order(Handover.order(truth, "a", shares), b)
+        assertEquals(listOf(Kind.RELEASE), b.kinds())
+        b.carryOut()
+        show(a)
+        assertEquals(listOf(Kind.ADOPT), a.kinds())
+        a.carryOut()
+        a.report(7, a.scheduler.cluster.term)
+        assertEquals(2, tasks(a, ReportedState.RUNNING).size, "what was sent under b's token may not have reached the worker yet")
+        a.report(8, a.ownership.epoch(machine))
+        assertEquals(0, tasks(a, ReportedState.RUNNING).size)
+    }
+
     @Test
     fun `a successor of the owner goes on with a move from what the table says`() {
         val a = running()
@@ -290,6 +336,7 @@
         order(Handover.order(truth, "b", shares), a)
         val transaction = a.agent.next(now)!!
         a.agent.unanswered(transaction)
+        assertEquals(listOf(Write.RaiseTerm), a.scheduler.nextCommit(now, now, 16)!!.writes)
         assertEquals(ReportAnswer.OwnedByAnother, a.report(5, 0))
         assertNull(a.agent.next(now))
         a.scheduler.raised(++revision, now)
