--- a/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
+++ b/src/main/kotlin/mintfield/app/sharing/ShareLeader.kt
@@ -16,6 +16,7 @@
 import mintfield.core.ownership.ShareLoad
 import mintfield.core.ownership.ShareOwnership
 import mintfield.core.ownership.ShareSettings
+import mintfield.core.ownership.WeightedClaims
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
 import mintfield.io.ownership.AssignmentCodec
@@ -53,14 +54,13 @@
     /** Joins this to the [scheduler] of the leader. */
     fun attach(scheduler: Scheduler) {
         this.scheduler = scheduler
-        val first =
-            node.settings.shares
-                .first()
-                .name == share.name
         val rebalancer = Rebalancer(share.name, scheduler.cluster, node.table, node, node)
         meter = LoadMeter(scheduler.cluster)
         val names = node.settings.shares.map { it.name }
-        agent = HandoverAgent(ownership, node.table, scheduler, node, claimsOwnerless = first, { rebalancer.gifts(it, names) }, node.tracer) { Log.info(it) }
+        agent =
+            HandoverAgent(ownership, node.table, scheduler, node, WeightedClaims(share.name, node.settings.shares, node::isLive), {
+                rebalancer.gifts(it, names)
+            }, node.tracer) { Log.info(it) }
         away = AwayTasks(scheduler)
         desk = GuestDesk(scheduler)
     }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -510,6 +510,10 @@
      *  less than a value of 8 KiB. Not to be changed while a table exists. */
     const val ASSIGNMENT_BLOCKS = 128
 
+    /** Milliseconds after which another share takes a machine without an owner if the one that should has no leader: an election with
+     *  its replay takes less. */
+    const val ABANDONED_MS = 15_000L
+
     /** Changes of assignments in one transaction: a conflict in one block fails them all. */
     const val ASSIGNMENT_CHANGES_AT_ONCE = 8
 
--- a/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
+++ b/src/main/kotlin/mintfield/core/ownership/HandoverAgent.kt
@@ -42,8 +42,7 @@
     private val table: AssignmentTable,
     private val scheduler: Scheduler,
     private val shares: Shares,
-    /** Whether this share takes machines that have no owner. */
-    private val claimsOwnerless: Boolean,
+    private val claimPolicy: ClaimPolicy,
     /** Which idle machines go to which share. */
     private val gifts: (Long) -> Map<String, String> = { emptyMap() },
     private val tracer: MoveTracer = MoveTracer.Off,
@@ -143,7 +142,12 @@
 
     private fun claims(nowMs: Long): List<AssignmentChange> {
         ownership.toClaim.removeAll { it in table.assigned }
-        if (claimsOwnerless) fleet.ownerless.forEach { (machine, sinceMs) -> if (nowMs - sinceMs > fleet.listLagMs()) ownership.toClaim.add(machine) }
+        // Whoever rented a machine claims it itself; before the first claim of all nobody has rented any.
+        val lagMs = if (table.assigned.isEmpty()) 0 else fleet.listLagMs()
+        for ((machine, sinceMs) in fleet.ownerless) {
+            val waitedMs = nowMs - sinceMs
+            if (waitedMs >= lagMs && claimPolicy.takes(machine, waitedMs > lagMs + Tuning.ABANDONED_MS)) ownership.toClaim.add(machine)
+        }
         return ownership.toClaim.mapNotNull { change(AssignmentChange.Kind.CLAIM, it, Handover.claim(table.assignment(it), share)) }
     }
 
--- a/src/test/kotlin/mintfield/ownership/RebalancerTest.kt
+++ b/src/test/kotlin/mintfield/ownership/RebalancerTest.kt
@@ -18,7 +18,9 @@
 import mintfield.core.ownership.ShareLoad
 import mintfield.core.ownership.ShareLoads
 import mintfield.core.ownership.ShareOwnership
+import mintfield.core.ownership.ShareSettings
 import mintfield.core.ownership.Shares
+import mintfield.core.ownership.WeightedClaims
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -221,6 +223,20 @@
         )
     }
 
+    @Test
+    fun `machines without an owner are divided by weight, and one whose share has no leader falls to the first that has`() {
+        val all = listOf(ShareSettings("a", "", emptyList()), ShareSettings("b", "", emptyList(), weight = 3.0), ShareSettings("c", "", emptyList()))
+        val policies = all.associate { it.name to WeightedClaims(it.name, all, live::contains) }
+        val names = (0 until 1_000).map { "m-%06d".format(it) }
+
+        fun takers(abandoned: Boolean) = names.map { name -> policies.filterValues { it.takes(name, abandoned) }.keys.single() }
+        assertEquals(takers(abandoned = false), takers(abandoned = true), "all shares have leaders")
+        assertEquals(600.0, takers(abandoned = false).count { it == "b" }.toDouble(), 60.0)
+        live.remove("b")
+        assertEquals(600.0, names.count { policies.getValue("b").takes(it, false) }.toDouble(), 60.0, "its next leader takes them")
+        assertEquals(800.0, names.count { policies.getValue("a").takes(it, true) }.toDouble(), 60.0)
+    }
+
     @Test
     fun `shares are divided by weight, and none gets more than it wants`() {
         fun divide(
