--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -151,6 +151,16 @@
 
     val activeAttempts: Collection<Attempt> get() = attempts.values
 
+    /** The zone that its next task must be in, if there is one: that of its specification, or of its other tasks if all must share one. */
+    val boundZone: String?
+        get() {
+            if (spec.zone != null || !spec.oneZone) return spec.zone
+            return attempts.values
+                .firstOrNull()
+                ?.machine
+                ?.zone
+        }
+
     fun put(attempt: Attempt) {
         check(attempts.put(attempt.index, attempt) == null) { "${spec.id}/${attempt.index} is planned twice" }
         byState[attempt.state.ordinal]++
--- a/src/main/kotlin/mintfield/core/ownership/ShareLoad.kt
+++ b/src/main/kotlin/mintfield/core/ownership/ShareLoad.kt
@@ -112,16 +112,7 @@
 
     private fun need(job: Job): Need {
         val spec = job.spec
-        val zone =
-            spec.zone ?: if (spec.oneZone) {
-                job.activeAttempts
-                    .firstOrNull()
-                    ?.machine
-                    ?.zone
-            } else {
-                null
-            }
-        return Need(job.fits, zone, spec.spot, spec.cpus, spec.gpus, spec.memoryGb)
+        return Need(job.fits, job.boundZone, spec.spot, spec.cpus, spec.gpus, spec.memoryGb)
     }
 
     /** Tasks left over when the free room of [own] has been given to [waiting], those with the least choice first. */
--- a/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
+++ b/src/main/kotlin/mintfield/core/placement/ImageRoom.kt
@@ -42,15 +42,7 @@
 
     private fun holders(job: Job): Holders {
         val spec = job.spec
-        val zone =
-            spec.zone ?: if (spec.oneZone) {
-                job.activeAttempts
-                    .firstOrNull()
-                    ?.machine
-                    ?.zone
-            } else {
-                null
-            }
+        val zone = job.boundZone
         return holders.getOrPut(Wanted(spec.image, spec.spot, zone, job.fits)) {
             var cpus = 0.0
             for (m in open) {
