--- a/src/main/kotlin/mintfield/app/ChangeWriter.kt
+++ b/src/main/kotlin/mintfield/app/ChangeWriter.kt
@@ -5,6 +5,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import mintfield.core.Tuning
+import mintfield.core.model.StateLimits
+import mintfield.core.model.StateLimitsInForce
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
 import mintfield.io.loop.Pacer
@@ -32,8 +34,7 @@
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val store: StoreClient,
-    private val txnOps: Int,
-    private val pacer: Pacer,
+    private val limits: StateLimitsInForce,
 ) {
     private class Change(
         val guards: List<Guard>,
@@ -46,13 +47,15 @@
 
     private val queue = ArrayDeque<Change>()
     private var lanes = 0
-    private var mostOps = txnOps
+    private var mostOps = limits.current.txnOps
+    private var pacedFor = limits.current
+    private val pacer = Pacer(loop, pacedFor.writeRps * Tuning.CHANGE_WRITE_SHARE, pacedFor.txnOps.toDouble())
 
     /** Told when the store refuses changes as too many, so that the leader can leave room for them. */
     var onCrowded: () -> Unit = {}
 
     /** Whether changes wait for their turn at the store. */
-    val crowded: Boolean get() = queue.isNotEmpty() || mostOps < txnOps
+    val crowded: Boolean get() = queue.isNotEmpty() || mostOps < limits.current.txnOps
 
     /** False when so much waits already that a further change would only grow old. */
     val open: Boolean get() = queue.size < Tuning.MAX_WAITING_CHANGES
@@ -80,6 +83,7 @@
     private suspend fun drain() {
         while (queue.isNotEmpty()) {
             val batch = take()
+            keepToLimits()
             pacer.acquire(batch.sumOf { it.writes.size }.toDouble())
             try {
                 carryOut(batch)
@@ -91,7 +95,16 @@
         }
     }
 
+    /** The limits may have become lower, by what the leader here was told as well. */
+    private fun keepToLimits() {
+        if (pacedFor == limits.current) return
+        pacedFor = limits.current
+        mostOps = minOf(mostOps, pacedFor.txnOps)
+        pacer.limit(pacedFor.writeRps * Tuning.CHANGE_WRITE_SHARE, pacedFor.txnOps.toDouble())
+    }
+
     private fun take(): List<Change> {
+        keepToLimits()
         val batch = ArrayList<Change>()
         val keys = HashSet<String>()
         var ops = 0
@@ -112,11 +125,12 @@
     private suspend fun carryOut(all: List<Change>) {
         var batch = all
         while (batch.isNotEmpty()) {
+            val usedFor = limits.current
             when (val r = store.txn(batch.flatMap { it.guards }, batch.flatMap { it.writes })) {
                 is StoreResult.Ok ->
                     when (val outcome = r.value) {
                         is TxnOutcome.Applied -> {
-                            mostOps = minOf(txnOps, mostOps * 2)
+                            mostOps = minOf(limits.current.txnOps, mostOps * 2)
                             return finish(batch, ChangeResult.APPLIED)
                         }
 
@@ -129,6 +143,10 @@
                             batch = good
                         }
 
+                        is TxnOutcome.Malformed -> {
+                            batch = smaller(batch, usedFor, outcome)
+                        }
+
                         TxnOutcome.LeaseGone -> return finish(batch, ChangeResult.REFUSED)
                     }
 
@@ -150,6 +168,24 @@
         }
     }
 
+    /** What to try next of a [batch] that was called malformed: as much as the limits permit that are in force now, or one at a time. */
+    private fun smaller(
+        batch: List<Change>,
+        usedFor: StateLimits,
+        outcome: TxnOutcome.Malformed,
+    ): List<Change> {
+        if (limits.refused(usedFor)) {
+            keepToLimits()
+        } else if (batch.size > 1) {
+            mostOps = batch.first().writes.size
+        } else {
+            Log.error("the state service calls a change of ${batch.first().writes.first().key} malformed: ${outcome.reason}")
+            finish(batch, ChangeResult.REFUSED)
+            return emptyList()
+        }
+        return putBack(batch)
+    }
+
     /** Leaves as much of [batch] as may now go at once; the rest is first in the queue again. */
     private fun putBack(batch: List<Change>): List<Change> {
         var ops = 0
--- a/src/main/kotlin/mintfield/app/JobView.kt
+++ b/src/main/kotlin/mintfield/app/JobView.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import mintfield.core.Tuning
+import mintfield.core.dependencies.DependencyGraph
 import mintfield.core.jobs.JobChange
 import mintfield.core.jobs.JobListener
 import mintfield.core.jobs.JobRecord
@@ -54,9 +55,18 @@
                 override fun changed(job: AcceptedJob) = listeners.forEach { it.changed(job) }
 
                 override fun removed(id: String) = listeners.forEach { it.removed(id) }
+
+                override fun becameReady(id: String) = listeners.forEach { it.becameReady(id) }
+
+                override fun becameDoomed(id: String) = listeners.forEach { it.becameDoomed(id) }
             }
     }
 
+    /** Which unfinished jobs depend on which others. */
+    val dependencies: DependencyGraph get() = replica.dependencies
+
+    private var resolving = false
+
     /** Told when the view shows all that had happened by a moment, in steady milliseconds. */
     var onComplete: (Long) -> Unit = {}
 
@@ -136,6 +146,7 @@
             return CatchUp.HISTORY_LOST
         }
         replica.apply(changes.log.mapNotNull(::jobChange), changes.revision)
+        resolvePredecessors()
         onComplete(sentAtMs)
         return CatchUp.CURRENT
     }
@@ -152,6 +163,7 @@
             } while (page.hasNext && after != null)
             snapshot.complete()
         }
+        resolvePredecessors()
         onComplete(sentAtMs)
         return true
     }
@@ -173,6 +185,38 @@
         return JobChange.Ended(change.key.removePrefix(Keys.FINAL), change.mark, state)
     }
 
+    /** Looks up how those predecessors ended that were over before this node read the jobs. */
+    private fun resolvePredecessors() {
+        if (resolving || dependencies.unresolved.isEmpty()) return
+        resolving = true
+        scope.launch {
+            try {
+                while (dependencies.unresolved.isNotEmpty()) {
+                    if (!resolve(dependencies.unresolved.first())) delay(Tuning.STORE_RETRY_MS)
+                }
+            } finally {
+                resolving = false
+            }
+        }
+    }
+
+    /** Looks up the predecessors of job [id], direct and through others, that it is not known of; false if that was not possible. */
+    suspend fun resolveBefore(id: String): Boolean = dependencies.unresolvedBefore(id).all { resolve(it) }
+
+    /** Reads the final state of the predecessor [id]; false without an answer. */
+    private suspend fun resolve(id: String): Boolean {
+        val found = store.get(Keys.final(id)) as? StoreResult.Ok ?: return false
+        val state = found.value?.let { Records.parseFinal(it.data) }
+        if (state != null) {
+            replica.ended(id, state)
+        } else if (id in dependencies.unresolved) {
+            // Its record may have come while the final state was read; if not, there is nothing to wait for and nothing to rely on.
+            Log.error("$id, on which other jobs depend, has neither a record nor a final state that can be read: they wait")
+            dependencies.unknown(id)
+        }
+        return true
+    }
+
     /** One record that cannot be read must stop neither the others nor the answers about its own job. */
     private fun record(
         id: String,
--- a/src/main/kotlin/mintfield/app/Leader.kt
+++ b/src/main/kotlin/mintfield/app/Leader.kt
@@ -39,10 +39,18 @@
     private val settings = outside.settings
     private val store = outside.store
     private val keys = LeaderKeys(shareLeader?.share?.name)
-    val scheduler = Scheduler(settings, term, { view.live[it]?.withdrawn == true }, shareLeader?.ownership ?: WholeFleet) { Log.info(it) }
+    val scheduler =
+        Scheduler(
+            settings,
+            term,
+            { view.live[it]?.withdrawn == true },
+            shareLeader?.ownership ?: WholeFleet,
+            view.dependencies,
+            outside.stateLimits,
+        ) { Log.info(it) }
 
     private val commits =
-        LeaderCommits(loop, outside, keys, lease, scheduler, ::mayAct, ::checkLeaderKey, ::deposedByLease) { leaderValue(settings.member, nonce) }
+        LeaderCommits(loop, outside, keys, lease, scheduler, ::mayAct, ::checkLeaderKey, ::deposedByLease, view::ended) { leaderValue(settings.member, nonce) }
     private val direct = DirectCommandSender(loop, scope, outside, scheduler) { commits.kick() }
     private val replay = Replay(loop, outside, view, scheduler, keys, ::schedules)
     private val desk = CloudCalls(loop, outside.cloud, scheduler.fleet)
@@ -172,6 +180,16 @@
         scheduler.jobRemoved(id, loop.nowMs())
     }
 
+    override fun becameReady(id: String) {
+        scheduler.becameReady(id, loop.nowMs())
+        kick()
+    }
+
+    override fun becameDoomed(id: String) {
+        scheduler.becameDoomed(id)
+        kick()
+    }
+
     // ---- store ----
 
     /** The leader key is not at our mark: a rewriting of our own without an answer went through, or our time is over. */
--- a/src/main/kotlin/mintfield/app/LeaderCommits.kt
+++ b/src/main/kotlin/mintfield/app/LeaderCommits.kt
@@ -8,6 +8,9 @@
 import mintfield.core.Scheduler
 import mintfield.core.Tuning
 import mintfield.core.Write
+import mintfield.core.model.FinalState
+import mintfield.core.model.Stage
+import mintfield.core.model.StateLimits
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
 import mintfield.io.loop.Pacer
@@ -28,21 +31,26 @@
     private val mayAct: () -> Boolean,
     private val checkLeaderKey: suspend () -> Unit,
     private val leaseEnded: () -> Unit,
+    /** Told of the final states that it has written. */
+    private val ended: (String, FinalState) -> Unit,
     leaderValue: () -> ByteArray,
 ) {
     private val settings = outside.settings
     private val store = outside.store
-    private val storeWrites = StoreWrites(keys, settings.valueKb, lease, leaderValue)
+    private val limits = outside.stateLimits
+    private val storeWrites = StoreWrites(keys, limits, lease, leaderValue)
 
     /** Its part of the permitted writes: the leaders of other shares write as well. */
-    private val permittedWrites =
-        settings.stateWriteRps / (
-            settings.operator.sharing
-                ?.shares
-                ?.size ?: 1
-        )
-    private val writes = Pacer(loop, permittedWrites * Tuning.LEADER_WRITE_SHARE, settings.txnOps.toDouble())
+    private val permittedWrites: Double
+        get() =
+            limits.current.writeRps / (
+                settings.operator.sharing
+                    ?.shares
+                    ?.size ?: 1
+            )
+    private val writes = Pacer(loop, permittedWrites * Tuning.LEADER_WRITE_SHARE, limits.current.txnOps.toDouble())
     private val wake = Channel<Unit>(Channel.CONFLATED)
+    private var pacedFor = limits.current
     private var yieldUntilMs = 0L
 
     /** Changes of users wait for the store: leaves them room for a while. */
@@ -51,7 +59,15 @@
         writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE_YIELDING
     }
 
+    /** The limits may have become lower, by what another part of this node was told as well. */
+    private fun keepToLimits() {
+        if (pacedFor == limits.current) return
+        pacedFor = limits.current
+        writes.limit(permittedWrites * Tuning.LEADER_WRITE_SHARE, pacedFor.txnOps.toDouble())
+    }
+
     private fun writesAvailable(): Double {
+        keepToLimits()
         if (yieldUntilMs > 0 && loop.nowMs() > yieldUntilMs) {
             yieldUntilMs = 0
             writes.rate = permittedWrites * Tuning.LEADER_WRITE_SHARE
@@ -72,7 +88,7 @@
         while (true) {
             withTimeoutOrNull(IDLE_WAIT_MS) { wake.receive() }
             while (mayAct()) {
-                val ops = minOf(settings.txnOps, writesAvailable().toInt())
+                val ops = minOf(limits.current.txnOps, writesAvailable().toInt())
                 val commit = scheduler.nextCommit(loop.nowMs(), System.currentTimeMillis(), ops, yieldUntilMs > 0) ?: break
                 carryOut(commit)
                 afterEach()
@@ -87,6 +103,8 @@
         val taken: List<Write>,
         val guards: List<Guard>,
         val puts: List<KeyWrite>,
+        /** The limits that it was made for. */
+        val limits: StateLimits,
     )
 
     private suspend fun carryOut(wanted: Commit) {
@@ -94,9 +112,18 @@
         scheduler.untaken(wanted.writes.drop(transaction.taken.size), loop.nowMs())
         writes.take(transaction.puts.size.toDouble())
         val sentAt = loop.nowMs()
-        val result = outcome(store.txn(transaction.guards, transaction.puts, urgent = true), transaction.puts.size)
+        val result = outcome(store.txn(transaction.guards, transaction.puts, urgent = true), transaction)
         outside.metrics.committed(loop.nowMs() - sentAt)
         scheduler.committed(Commit(wanted.term, transaction.taken), result, loop.nowMs())
+        if (result is CommitResult.Done) transaction.taken.forEach(::tellEnd)
+    }
+
+    private fun tellEnd(write: Write) {
+        when (write) {
+            is Write.Finish -> ended(write.job.id, FinalState(Stage.DONE, write.job.spec.tasks, System.currentTimeMillis()))
+            is Write.CancelSuccessor -> ended(write.job.id, FinalState(Stage.WITHDRAWN, 0, System.currentTimeMillis()))
+            else -> {}
+        }
     }
 
     private fun transaction(wanted: Commit): Transaction {
@@ -104,47 +131,62 @@
         guards[keys.leader] = Guard(keys.leader, wanted.term)
         val puts = ArrayList<KeyWrite>()
         val taken = ArrayList<Write>()
+        val inForce = limits.current
         var bytes = 0
         for (w in wanted.writes) {
             val writes = storeWrites.keyWrites(w)
             val size = writes.sumOf { (it as? KeyWrite.Put)?.json?.size ?: 0 } + WRITE_OVERHEAD * (writes.size + 2)
-            if (puts.isNotEmpty() && (puts.size + writes.size > settings.txnOps || bytes + size > Tuning.MAX_TXN_BYTES)) break
+            if (puts.isNotEmpty() && (puts.size + writes.size > inForce.txnOps || bytes + size > Tuning.MAX_TXN_BYTES)) break
             storeWrites.guardsOf(w).forEach { guards[it.key] = it }
             puts.addAll(writes)
             bytes += size
             taken.add(w)
         }
-        return Transaction(taken, guards.values.toList(), puts)
+        return Transaction(taken, guards.values.toList(), puts, inForce)
     }
 
     private suspend fun outcome(
         result: StoreResult<TxnOutcome>,
-        puts: Int,
+        transaction: Transaction,
     ): CommitResult =
         when (result) {
-            is StoreResult.Ok -> answered(result.value)
+            is StoreResult.Ok -> answered(result.value, transaction)
             is StoreResult.Refused -> {
-                Log.debug("a commit of $puts writes was refused with ${result.status}")
+                Log.debug("a commit of ${transaction.puts.size} writes was refused with ${result.status}")
                 if (result.status == TOO_MANY) giveWay()
                 delay(Tuning.STORE_RETRY_MS)
                 CommitResult.Refused
             }
             is StoreResult.Unknown -> {
-                Log.info("no answer to a commit of $puts writes: ${result.why}; the term will rise")
+                Log.info("no answer to a commit of ${transaction.puts.size} writes: ${result.why}; the term will rise")
                 CommitResult.Unknown
             }
         }
 
-    private suspend fun answered(outcome: TxnOutcome): CommitResult =
+    private suspend fun answered(
+        outcome: TxnOutcome,
+        transaction: Transaction,
+    ): CommitResult =
         when (outcome) {
             is TxnOutcome.Applied -> CommitResult.Done(outcome.revision)
             is TxnOutcome.Failed -> failed(outcome.keys)
+            is TxnOutcome.Malformed -> malformed(outcome, transaction)
             TxnOutcome.LeaseGone -> {
                 leaseEnded()
                 CommitResult.Refused
             }
         }
 
+    /** Not executed. If the limits have become lower its writes go again in smaller ones; if not, there is no use in trying. */
+    private fun malformed(
+        outcome: TxnOutcome.Malformed,
+        transaction: Transaction,
+    ): CommitResult {
+        check(limits.refused(transaction.limits)) { "the state service calls a transaction malformed: ${outcome.reason}" }
+        Log.info("the state service permits less from now on: ${limits.current}")
+        return CommitResult.Refused
+    }
+
     private suspend fun failed(failedKeys: List<String>): CommitResult {
         if (keys.leader in failedKeys) {
             checkLeaderKey()
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -28,7 +28,6 @@
 import mintfield.io.json.Json
 import mintfield.io.loop.EventLoop
 import mintfield.io.loop.Log
-import mintfield.io.loop.Pacer
 import mintfield.io.loop.scope
 import mintfield.io.ownership.GuestCodec
 import mintfield.io.peer.PeerLink
@@ -56,9 +55,13 @@
     private val succession = ShareSuccession(settings.member, PeerSiblings()) { sharing?.assignments?.drained.orEmpty() }
     private val leaderships = Leaderships(members(), sharing)
     private val changes =
-        ChangeWriter(loop, scope, outside.store, settings.txnOps, Pacer(loop, settings.stateWriteRps * Tuning.CHANGE_WRITE_SHARE, settings.txnOps.toDouble()))
+        ChangeWriter(loop, scope, outside.store, outside.stateLimits)
+    private val versions = VersionRecords(settings, outside.store, loop)
     private val peers = PeerLink(loop, scope, settings, outside, this)
-    private val users = UserApi(settings, outside.store, view, changes, { outside.types.values }, ::progress, cancellations::telling) { peers.storeCut() }
+    private val users =
+        UserApi(settings, outside.store, view, changes, versions, outside.stateLimits, {
+            outside.types.values
+        }, ::progress, cancellations::telling) { peers.storeCut() }
     private val reports = WorkerReports(loop, settings, peers, leaderships)
     private val bounds = SocketBounds(settings)
     private val clientServer = HttpServer(loop, scope, group, bounds.incoming, ::client)
@@ -132,6 +135,7 @@
             if (outside.types.isEmpty()) delay(Tuning.CLOUD_RETRY_MS)
         }
         while (!view.loaded) if (!view.current()) delay(Tuning.STORE_RETRY_MS)
+        versions.record()
     }
 
     /** Gives up shares that another controller should lead: their homes, or any other if this one is drained. */
@@ -291,6 +295,11 @@
         return peers.askGuests(controller, GuestCodec.questions(share, queries))?.let(GuestCodec::parseAnswers)
     }
 
+    override fun siblingRuns(
+        member: String,
+        generation: Int,
+    ) = versions.heard(member, generation)
+
     override fun cancellationsAfter(
         incarnation: Long,
         next: Long,
--- a/src/main/kotlin/mintfield/app/Outside.kt
+++ b/src/main/kotlin/mintfield/app/Outside.kt
@@ -4,6 +4,7 @@
 import mintfield.core.Tuning
 import mintfield.core.model.MachineType
 import mintfield.core.model.Settings
+import mintfield.core.model.StateLimitsInForce
 import mintfield.io.cloud.CloudClient
 import mintfield.io.cloud.CloudResult
 import mintfield.io.http.HttpClient
@@ -33,6 +34,9 @@
             Pacer(loop, settings.cloudRps * Tuning.CLOUD_SHARE / callers, settings.cloudRps / callers),
         )
     val metrics = Metrics()
+
+    /** What the state service permits now, as far as this node knows. */
+    val stateLimits = StateLimitsInForce(settings)
     val types = LinkedHashMap<String, MachineType>()
     private val maxWorkers = SocketBounds(settings).keptToWorkers
     private val workers = LinkedHashMap<String, HttpClient>(16, 0.75f, true)
--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -10,7 +10,9 @@
 import mintfield.core.model.Settings
 import mintfield.core.model.Shape
 import mintfield.core.model.Stage
+import mintfield.core.model.StateLimitsInForce
 import mintfield.core.model.fittingTypes
+import mintfield.core.upgrade.Generation
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.Response
 import mintfield.io.json.Json
@@ -39,6 +41,8 @@
     private val store: StoreClient,
     private val view: JobView,
     private val changes: ChangeWriter,
+    private val versions: VersionRecords,
+    private val limits: StateLimitsInForce,
     private val types: () -> Collection<MachineType>,
     private val progress: (String) -> Progress?,
     /** Told of a job before a user is told that it is cancelled. */
@@ -46,6 +50,8 @@
     /** Whether the store has not been reached for a while, so that asking it would only make the user wait. */
     private val cutOff: () -> Boolean = { false },
 ) {
+    private val predecessors = PredecessorLookup(store, view)
+
     /** The submissions under way, by job; each completes when it has ended, however that was. */
     private val submitting = HashMap<String, CompletableDeferred<Unit>>()
 
@@ -96,15 +102,54 @@
         impossible(spec, fits)?.let { reason -> return orKnown(spec.id) { Response.error(422, reason) } }
         if (cutOff()) return busy("the state service cannot be reached from here")
         if (!changes.open) return busy("too many submissions are waiting")
-        val job = AcceptedJob(spec, 0, System.currentTimeMillis(), withdrawn = false, fits = fits)
-        val json = Records.live(job)
-        if (json.size > settings.valueKb * 1024) return orKnown(spec.id) { Response.error(400, "the description is too long") }
-        val guards = listOf(Guard(Keys.live(spec.id), 0), Guard(Keys.final(spec.id), 0))
-        return when (changes.write(guards, listOf(KeyWrite.Put(Keys.live(spec.id), json)))) {
-            ChangeResult.APPLIED -> accepted(spec.id)
-            ChangeResult.CONFLICT -> orKnown(spec.id) { busy("try again") }
+        return if (spec.predecessors.isEmpty()) accept(spec, fits) else submitDependent(spec, fits)
+    }
+
+    /** A job that depends on others. The state of one that is known already does not depend on what has become of those. */
+    private suspend fun submitDependent(
+        spec: JobSpec,
+        fits: List<String>,
+    ): Response {
+        if (!versions.allHave(Generation.DEPENDENCIES)) return orKnown(spec.id) { busy("a controller still runs an earlier version") }
+        return when (val found = predecessors.find(spec.predecessors)) {
+            is Predecessors.NeverAccepted -> orKnown(spec.id) { Response.error(422, "awaits: ${found.id} was never accepted") }
+            is Predecessors.Service -> orKnown(spec.id) { Response.error(422, "awaits: ${found.id} is a service, which is never done") }
+            Predecessors.Unavailable -> busy("the state service cannot be asked now")
+            is Predecessors.Accepted ->
+                if (found.withdrawn) acceptWithdrawn(spec.id) else accept(spec.copy(predecessors = found.unfinished), fits)
+        }
+    }
+
+    /** Writes that a job is accepted, unless it has been before. */
+    private suspend fun accept(
+        spec: JobSpec,
+        fits: List<String>,
+    ): Response {
+        val json = Records.live(AcceptedJob(spec, 0, System.currentTimeMillis(), withdrawn = false, fits = fits))
+        if (json.size > limits.lowest.valueBytes) return orKnown(spec.id) { Response.error(400, "the description is too long") }
+        return write(spec.id, KeyWrite.Put(Keys.live(spec.id), json)) { accepted(spec.id) }
+    }
+
+    /** Writes that a job is accepted and, since one that it depends on is cancelled, withdrawn. */
+    private suspend fun acceptWithdrawn(id: String): Response {
+        val withdrawn = FinalState(Stage.WITHDRAWN, 0, System.currentTimeMillis())
+        return write(id, KeyWrite.Put(Keys.final(id), Records.final(withdrawn))) {
+            view.ended(id, withdrawn)
+            state(id, Stage.WITHDRAWN, 0, status = 201)
+        }
+    }
+
+    private suspend inline fun write(
+        id: String,
+        record: KeyWrite,
+        applied: () -> Response,
+    ): Response {
+        val guards = listOf(Guard(Keys.live(id), 0), Guard(Keys.final(id), 0))
+        return when (changes.write(guards, listOf(record))) {
+            ChangeResult.APPLIED -> applied()
+            ChangeResult.CONFLICT -> orKnown(id) { busy("try again") }
             ChangeResult.REFUSED -> busy("the state service does not take it now")
-            ChangeResult.UNKNOWN -> orKnown(spec.id) { busy("not known yet whether it was accepted") }
+            ChangeResult.UNKNOWN -> orKnown(id) { busy("not known yet whether it was accepted") }
         }
     }
 
@@ -149,6 +194,7 @@
         // A final state stays, so what is cached of it is as good as the store's.
         (view.known(id) as? KnownJob.Ended)?.let { return Lookup.Found(it) }
         if (cutOff() || !view.current()) return Lookup.Unavailable
+        if (!view.resolveBefore(id)) return Lookup.Unavailable
         val known = view.known(id)
         if (known is KnownJob.Ended || known is KnownJob.Live) return Lookup.Found(known)
         // Of a job without a readable record only its final state, which may be long past, can tell more.
@@ -193,7 +239,7 @@
                 is KnownJob.Ended -> return answer(id, found)
                 KnownJob.Unreadable -> return busy("what is recorded of it cannot be read")
                 is KnownJob.Live -> {
-                    if (found.job.withdrawn) return answer(id, found)
+                    if (isWithdrawn(found)) return answer(id, found)
                     cancel(found.job)?.let { return it }
                 }
             }
@@ -204,12 +250,12 @@
     /** Writes that [job] is withdrawn; null if it is not known whether it is, or it had changed meanwhile. */
     private suspend fun cancel(job: AcceptedJob): Response? {
         val id = job.spec.id
-        val withdrawn = FinalState(Stage.WITHDRAWN, progress(id)?.done ?: 0)
+        val withdrawn = FinalState(Stage.WITHDRAWN, progress(id)?.done ?: 0, System.currentTimeMillis())
         val guards = listOf(Guard(Keys.live(id), job.mark), Guard(Keys.final(id), 0))
         val writes =
             listOf(
                 KeyWrite.Put(Keys.final(id), Records.final(withdrawn)),
-                KeyWrite.Put(Keys.live(id), Records.live(job.copy(withdrawn = true))),
+                KeyWrite.Put(Keys.live(id), Records.withdrawn(job, limits.lowest.valueBytes)),
             )
         return when (changes.write(guards, writes)) {
             ChangeResult.APPLIED -> {
@@ -225,7 +271,7 @@
     /** A submission was accepted, and may have been cancelled or ended before that was known here. */
     private fun accepted(id: String): Response {
         val known = view.known(id)
-        val ended = known is KnownJob.Ended || known is KnownJob.Live && known.job.withdrawn
+        val ended = known is KnownJob.Ended || known is KnownJob.Live && isWithdrawn(known)
         return if (ended) answer(id, known) else unfinished(id, status = 201)
     }
 
@@ -239,10 +285,13 @@
     ): Response =
         when (val newest = view.known(id) as? KnownJob.Ended ?: known) {
             is KnownJob.Ended -> state(id, newest.state.stage, newest.state.tasks, status = 200)
-            is KnownJob.Live -> if (newest.job.withdrawn) state(id, Stage.WITHDRAWN, doneTasks(id), status = 200) else unfinished(id, status = 200)
+            is KnownJob.Live -> if (isWithdrawn(newest)) state(id, Stage.WITHDRAWN, doneTasks(id), status = 200) else unfinished(id, status = 200)
             KnownJob.Unreadable -> unfinished(id, status = 200)
         }
 
+    /** Whether a job is withdrawn, by its own user or with a job that it depends on, whether or not that is in its record yet. */
+    private fun isWithdrawn(known: KnownJob.Live) = known.job.withdrawn || view.dependencies.isDoomed(known.job.spec.id)
+
     private fun unfinished(
         id: String,
         status: Int,
--- /dev/null
+++ b/src/main/kotlin/mintfield/app/VersionRecords.kt
@@ -0,0 +1,69 @@
+package mintfield.app
+
+import kotlinx.coroutines.delay
+import mintfield.core.Tuning
+import mintfield.core.model.Settings
+import mintfield.core.upgrade.ControllerVersions
+import mintfield.core.upgrade.Generation
+import mintfield.io.json.long
+import mintfield.io.loop.EventLoop
+import mintfield.io.loop.Log
+import mintfield.io.store.Guard
+import mintfield.io.store.KeyWrite
+import mintfield.io.store.Keys
+import mintfield.io.store.Records
+import mintfield.io.store.StoreClient
+import mintfield.io.store.StoreResult
+import mintfield.io.store.TxnOutcome
+
+/**
+ * Records this controller's generation in the state service, once in the life of the cluster, and reads those of the others when
+ * something depends on them and not all are known; in the ordinary course nothing more is asked.
+ */
+class VersionRecords(
+    private val settings: Settings,
+    private val store: StoreClient,
+    private val loop: EventLoop,
+) {
+    private val versions = ControllerVersions(settings.siblings.map { it.member })
+    private var readAtMs = Long.MIN_VALUE / 2
+
+    /** A sibling's note names its generation. */
+    fun heard(
+        member: String,
+        generation: Int,
+    ) = versions.heard(member, generation)
+
+    /** Records the generation of this program, unless that has been done; tries until it has succeeded. */
+    suspend fun record() {
+        while (!recordOnce()) delay(Tuning.VERSION_RETRY_MS)
+    }
+
+    private suspend fun recordOnce(): Boolean {
+        val key = Keys.version(settings.member)
+        val entry = store.get(key)
+        if (entry !is StoreResult.Ok) return false
+        if (entry.value?.data?.long(Records.GENERATION) == Generation.CURRENT.toLong()) return true
+        val guard = Guard(key, entry.value?.mark ?: 0)
+        val result = store.txn(listOf(guard), listOf(KeyWrite.Put(key, Records.generation(Generation.CURRENT))))
+        return (result as? StoreResult.Ok)?.value is TxnOutcome.Applied
+    }
+
+    /** Whether all controllers run [generation] or a later one. */
+    suspend fun allHave(generation: Int): Boolean {
+        if (versions.lacking(generation).isEmpty()) return true
+        if (loop.nowMs() - readAtMs >= Tuning.VERSION_RETRY_MS) read()
+        val lacking = versions.lacking(generation)
+        if (lacking.isNotEmpty()) Log.info("not known to run generation $generation: $lacking")
+        return lacking.isEmpty()
+    }
+
+    private suspend fun read() {
+        readAtMs = loop.nowMs()
+        val page = (store.list(Keys.VERSIONS, null, Tuning.PAGE) as? StoreResult.Ok)?.value ?: return
+        for (entry in page.entries) {
+            val generation = entry.data.long(Records.GENERATION) ?: continue
+            versions.recorded(entry.key.removePrefix(Keys.VERSIONS), generation.toInt())
+        }
+    }
+}
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -9,6 +9,8 @@
 import mintfield.core.model.JobSpec
 import mintfield.core.model.MachineType
 import mintfield.core.model.Settings
+import mintfield.core.model.StateLimits
+import mintfield.core.model.StateLimitsInForce
 import mintfield.core.model.TaskId
 import mintfield.core.ownership.Ownership
 import mintfield.core.ownership.WholeFleet
@@ -19,6 +21,8 @@
     /** Term at the election; later ones of the same leader are higher. */
     val firstTerm: Long,
     val ownership: Ownership = WholeFleet,
+    /** What the state service permits now. */
+    private val stateLimits: StateLimitsInForce = StateLimitsInForce(settings),
     private val log: (String) -> Unit,
 ) {
     class Usage {
@@ -26,6 +30,7 @@
         var gpus = 0.0
     }
 
+    val limits: StateLimits get() = stateLimits.current
     val timings = Timings(settings)
     val bounds = SocketBounds(settings)
     var term = firstTerm
@@ -40,6 +45,12 @@
     /** Jobs that have failed and not succeeded. */
     val troubled = LinkedHashSet<Job>()
 
+    /** Jobs to be withdrawn with a predecessor. */
+    val doomed = LinkedHashSet<Job>()
+
+    /** Set when a job has become ready: its round need not wait for the next one that is due. */
+    var roundWanted = false
+
     /** When this leader's replay ended. */
     var replayedAtMs = 0L
 
--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -1,5 +1,6 @@
 package mintfield.core
 
+import mintfield.core.dependencies.InheritedUrgency
 import mintfield.core.fleet.FleetManager
 import mintfield.core.fleet.Machine
 import mintfield.core.fleet.SilentZones
@@ -17,6 +18,7 @@
     private val disowning: SilentZones,
     private val ledger: RoundLedger,
     private val blame: FailureAttribution,
+    private val inheritedUrgency: InheritedUrgency,
     /** Told of a job that is finished or swept. */
     private val ended: (String, Long) -> Unit,
     private val log: (String) -> Unit,
@@ -63,10 +65,11 @@
             return Commit(cluster.term, listOf(Write.RaiseTerm))
         }
         disowning.look(nowMs, wallMs)
-        val scarce = ops < cluster.settings.txnOps * Tuning.PLENTY_SHARE
+        val scarce = ops < cluster.limits.txnOps * Tuning.PLENTY_SHARE
         place(nowMs, wallMs, scarce)
         val batch = Batch(ops)
         addDisowning(batch)
+        addCancelledSuccessors(batch)
         addFinished(batch)
         ledger.refresh(nowMs)
         batch.left -= ledger.add(batch.writes, batch.left, if (scarce) Tuning.DONE_BATCH_BUSY_MS else Tuning.DONE_BATCH_MS, nowMs)
@@ -82,6 +85,15 @@
         batch.addAll(disowning.wanted.asSequence()) { Write.Disown(it) }
     }
 
+    /** Their predecessors' users have been told: within `cancel_s` these must say so too. */
+    private fun addCancelledSuccessors(batch: Batch) {
+        for (job in cluster.doomed) {
+            if (batch.left < FINISH_COST && batch.writes.isNotEmpty()) return
+            if (job.withdrawn || job.finishing || job.unreadable || job.begun) continue
+            batch.add(Write.CancelSuccessor(job), FINISH_COST)
+        }
+    }
+
     private fun addFinished(batch: Batch) {
         for (job in cluster.jobs.values) {
             if (batch.left <= 0) return
@@ -117,9 +129,11 @@
         scarce: Boolean,
     ) {
         val most = cluster.roundTasks()
-        if (nowMs - lastRoundMs >= if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
+        if (cluster.roundWanted || nowMs - lastRoundMs >= if (scarce) Tuning.ARRAY_ROUND_BUSY_MS else Tuning.ARRAY_ROUND_MS) {
             lastRoundMs = nowMs
             lastReplicaRoundMs = nowMs
+            cluster.roundWanted = false
+            inheritedUrgency.refresh(nowMs)
             blame.look(nowMs)
             round.run(nowMs, wallMs, most)
             return
@@ -173,6 +187,10 @@
             is Write.Round -> ledger.written(write, revision, nowMs)
             is Write.SweepRound -> ledger.leftOver.remove(write.key)
             is Write.Finish -> finished(write.job, nowMs)
+            is Write.CancelSuccessor -> {
+                log("${write.job.id} is withdrawn with a job that it depends on")
+                ended(write.job.id, nowMs)
+            }
             is Write.Sweep -> {
                 log("${write.job.spec.id} is swept")
                 ended(write.job.spec.id, nowMs)
--- a/src/main/kotlin/mintfield/core/Effects.kt
+++ b/src/main/kotlin/mintfield/core/Effects.kt
@@ -31,6 +31,13 @@
         override val guarded get() = listOf(job)
     }
 
+    /** A predecessor of the job is withdrawn, and it is withdrawn with it. It has never started, so its record goes at once. */
+    data class CancelSuccessor(
+        val job: Job,
+    ) : Write {
+        override val guarded get() = listOf(job)
+    }
+
     /** Everything of a withdrawn job is gone from the machines: its records go. */
     data class Sweep(
         val job: Job,
--- a/src/main/kotlin/mintfield/core/HintBlocks.kt
+++ b/src/main/kotlin/mintfield/core/HintBlocks.kt
@@ -19,7 +19,7 @@
         if (nowMs - lastMs < pauseMs()) return null
         lastMs = nowMs
         if (next >= blocks.size) {
-            blocks = pack(learned(), (cluster.settings.valueKb * VALUE_BYTES_USED).toInt())
+            blocks = pack(learned(), (cluster.limits.valueKb * VALUE_BYTES_USED).toInt())
             next = 0
         }
         return Write.Remember(next, blocks[next]).also { next++ }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -1,5 +1,7 @@
 package mintfield.core
 
+import mintfield.core.dependencies.DependencyGraph
+import mintfield.core.dependencies.InheritedUrgency
 import mintfield.core.fleet.FleetManager
 import mintfield.core.fleet.ListedMachine
 import mintfield.core.fleet.Machine
@@ -19,6 +21,7 @@
 import mintfield.core.model.Report
 import mintfield.core.model.ReportedState
 import mintfield.core.model.Settings
+import mintfield.core.model.StateLimitsInForce
 import mintfield.core.ownership.Ownership
 import mintfield.core.ownership.WholeFleet
 
@@ -52,16 +55,18 @@
     /** Whether a job is recorded as withdrawn, also before the replay has told of it. */
     private val recordedWithdrawn: (String) -> Boolean = { false },
     private val ownership: Ownership = WholeFleet,
+    private val dependencies: DependencyGraph = DependencyGraph { null },
+    stateLimits: StateLimitsInForce = StateLimitsInForce(settings),
     private val log: (String) -> Unit,
 ) {
-    val cluster = Cluster(settings, term, ownership, log)
+    val cluster = Cluster(settings, term, ownership, stateLimits, log)
     private val renewalBound = RenewalBound(settings)
     internal val reports = ReportHandler(cluster, ::knownWithdrawn, log)
     val fleet = FleetManager(cluster, log)
     val disowning = SilentZones(cluster, log)
 
     private val ledger = RoundLedger(cluster, fleet)
-    private val commits = CommitPlanner(cluster, fleet, disowning, ledger, reports.blame, ::jobRemoved, log)
+    private val commits = CommitPlanner(cluster, fleet, disowning, ledger, reports.blame, InheritedUrgency(cluster, dependencies), ::jobRemoved, log)
     private val direct = DirectCommands(cluster, reports, log)
 
     /** Workers that were answered before the replay, and when the last of them came for the first time. */
@@ -144,7 +149,7 @@
     ) {
         val job = cluster.jobs[accepted.spec.id]
         if (job == null) {
-            cluster.jobs[accepted.spec.id] = Job(accepted).also { it.seenAtMs = nowMs }
+            add(Job(accepted), nowMs)
             return
         }
         if (accepted.mark <= job.mark) return
@@ -153,6 +158,36 @@
         if (accepted.withdrawn && !job.withdrawn) withdraw(job, nowMs)
     }
 
+    private fun add(
+        job: Job,
+        nowMs: Long,
+    ) {
+        cluster.jobs[job.id] = job
+        job.seenAtMs = nowMs
+        when {
+            job.ready -> {}
+            dependencies.isDoomed(job.id) -> cluster.doomed.add(job)
+            dependencies.isReady(job.id) -> job.becomeReady(dependencies.readySinceMs(job.id))
+        }
+    }
+
+    /** All predecessors of the job [id] have recorded that they are done: it may start. */
+    fun becameReady(
+        id: String,
+        nowMs: Long,
+    ) {
+        val job = cluster.jobs[id] ?: return
+        job.becomeReady(dependencies.readySinceMs(id))
+        job.seenAtMs = nowMs
+        cluster.roundWanted = true
+        log("$id is ready: all jobs that it depends on are done")
+    }
+
+    /** A job that [id] depends on is withdrawn, and so [id] is to be. */
+    fun becameDoomed(id: String) {
+        cluster.jobs[id]?.let(cluster.doomed::add)
+    }
+
     /** The job's key is gone from the store: it is finished, or swept. */
     fun jobRemoved(
         id: String,
@@ -160,6 +195,7 @@
     ) {
         val job = cluster.jobs.remove(id) ?: return
         cluster.troubled.remove(job)
+        cluster.doomed.remove(job)
         job.told.keys
             .toList()
             .forEach { ledger.unneeded(job, it, Long.MAX_VALUE) }
@@ -324,14 +360,15 @@
         val doubted = cluster.troubled.count { it.belief == Belief.DOUBTED }
         val waiting =
             cluster.jobs.values
-                .filter { !it.withdrawn }
+                .filter { !it.withdrawn && it.ready }
                 .sumOf { it.waitingCount }
+        val dependent = cluster.jobs.values.count { !it.withdrawn && !it.ready }
         val attempts =
             cluster.machines.values
                 .flatMap { it.attempts }
                 .groupingBy { it.state }
                 .eachCount()
-        return "term ${cluster.term}: ${cluster.jobs.size} jobs, $doubted of them fail everywhere, attempts $attempts, $waiting waiting, " +
+        return "term ${cluster.term}: ${cluster.jobs.size} jobs, $doubted of them fail everywhere, $dependent wait for others, attempts $attempts, $waiting waiting, " +
             "machines $by, ${fleet.lateCount(nowMs)} late, ${free.toInt()} CPUs free"
     }
 }
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -163,6 +163,16 @@
     /** Transactions with changes of users that one node has under way at once. */
     const val CHANGE_LANES = 2
 
+    /** Times its expected run time that a job of a pipeline is given, as its slowest task ends it; and milliseconds to start it. */
+    const val STAGE_RUN = 1.3
+    const val STAGE_START_MS = 1_500.0
+
+    /** Milliseconds after which inherited deadlines are reckoned anew, since run times are learned meanwhile. */
+    const val INHERITANCE_MS = 5_000L
+
+    /** Milliseconds between two looks at which generation the other controllers run, while that is asked for and not known. */
+    const val VERSION_RETRY_MS = 1_000L
+
     /** Seconds after which a refused user should come back. */
     const val RETRY_AFTER_S = 1
 
--- a/src/main/kotlin/mintfield/core/fleet/SilentZones.kt
+++ b/src/main/kotlin/mintfield/core/fleet/SilentZones.kt
@@ -108,7 +108,7 @@
         wallMs: Long,
     ) {
         if (silent.isEmpty()) return
-        val most = (cluster.settings.valueKb * VALUE_BYTES_USED).toInt() / (silent.maxOf { it.id.length } + ID_FRAME)
+        val most = (cluster.limits.valueKb * VALUE_BYTES_USED).toInt() / (silent.maxOf { it.id.length } + ID_FRAME)
         for (some in silent.chunked(maxOf(1, most))) {
             val since = wallMs - (nowMs - some.maxOf { it.answeredAtMs })
             val record = DisownRecord("${cluster.firstTerm}-${++number}", some.map { it.id }, since)
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -4,6 +4,7 @@
 import mintfield.core.fleet.Machine
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.JobSpec
+import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 import java.util.BitSet
 
@@ -89,6 +90,20 @@
     var mark: Long = accepted.mark
     val acceptedAtMs: Long = accepted.acceptedAtMs
     val fits: Set<String> = accepted.fits.toSet()
+
+    /** Whether all its predecessors are done; before that it asks for nothing. To be changed by [becomeReady] only. */
+    var ready = spec.predecessors.isEmpty()
+        private set
+
+    /** Time of day in milliseconds from which it could start: that of its acceptance, or of its last predecessor's end. */
+    var readySinceMs = acceptedAtMs
+        private set
+
+    /** The highest of its own priority and those of the jobs that depend on it. */
+    var priority: Priority = spec.priority
+
+    /** When it must be done for the jobs that depend on it to meet their deadlines, time of day in milliseconds. */
+    var inheritedDueMs: Double? = null
     var withdrawn = accepted.withdrawn
 
     /** Done tasks; to be changed by [setDone] only. */
@@ -147,6 +162,13 @@
 
     val shardCount: Int get() = (spec.tasks + Shards.TASKS - 1) / Shards.TASKS
 
+    /** Its predecessors have been done since [sinceMs], a time of day in milliseconds; 0 if that is not known. */
+    fun becomeReady(sinceMs: Long) {
+        if (ready) return
+        ready = true
+        readySinceMs = maxOf(acceptedAtMs, sinceMs)
+    }
+
     fun attempt(index: Int): Attempt? = attempts[index]
 
     val activeAttempts: Collection<Attempt> get() = attempts.values
@@ -227,10 +249,17 @@
             }
 
     /** Tasks that may be planned now. */
-    val askable: Int get() = minOf(waitingCount, maxOf(0, if (worth == Int.MAX_VALUE) Int.MAX_VALUE else worth - attempts.size))
+    val askable: Int get() = if (!ready) 0 else minOf(waitingCount, maxOf(0, if (worth == Int.MAX_VALUE) Int.MAX_VALUE else worth - attempts.size))
 
     /** Tasks that room should be reckoned for: what is broken needs none but for its tries. */
-    val demand: Int get() = if (belief == Belief.DOUBTED) minOf(spec.tasks - doneCount, worth) else spec.tasks - doneCount
+    val demand: Int get() =
+        if (!ready) {
+            0
+        } else if (belief == Belief.DOUBTED) {
+            minOf(spec.tasks - doneCount, worth)
+        } else {
+            spec.tasks - doneCount
+        }
 
     /** Whether something waits to be written before it may start. */
     val planning: Boolean get() = byState[AttemptState.PLANNING.ordinal] > 0
--- a/src/main/kotlin/mintfield/core/jobs/JobReplica.kt
+++ b/src/main/kotlin/mintfield/core/jobs/JobReplica.kt
@@ -1,6 +1,8 @@
 package mintfield.core.jobs
 
 import mintfield.core.Tuning
+import mintfield.core.dependencies.DependencyGraph
+import mintfield.core.dependencies.DependencyListener
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.FinalState
 
@@ -65,7 +67,7 @@
 }
 
 /** Told of what changes in a [JobReplica]. */
-interface JobListener {
+interface JobListener : DependencyListener {
     fun changed(job: AcceptedJob)
 
     fun removed(id: String)
@@ -99,7 +101,14 @@
     var loaded = false
         private set
 
+    /** Which of these jobs depend on which others. */
+    val dependencies = DependencyGraph(::known)
+
     var listener: JobListener? = null
+        set(value) {
+            field = value
+            dependencies.listener = value
+        }
 
     /** What is known of the job [id]; a final state counts before a record, and both before what cannot be read. */
     fun known(id: String): KnownJob? {
@@ -120,6 +129,7 @@
         state: FinalState,
     ) {
         finals[id] = state
+        dependencies.ended(id, state)
     }
 
     /**
@@ -194,6 +204,7 @@
             is JobRecord.Readable -> {
                 unreadable.remove(id)
                 liveJobs[id] = record.job
+                dependencies.written(record.job)
                 listener?.changed(record.job)
             }
             is JobRecord.Unreadable -> unreadable[id] = record.mark
@@ -208,6 +219,7 @@
     private fun remove(id: String) {
         liveJobs.remove(id)
         unreadable.remove(id)
+        dependencies.removed(id)
         listener?.removed(id)
     }
 
--- a/src/main/kotlin/mintfield/core/jobs/RoundLedger.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundLedger.kt
@@ -122,10 +122,10 @@
         val open = cluster.jobs.values.filter { !it.changed.isEmpty && !it.withdrawn && !it.finishing && !it.unreadable && !it.allDone }
         val due = open.any { it.planning || (it.staleSinceMs > 0 && nowMs - it.staleSinceMs >= patienceMs) }
         if (!due) return 0
-        val order = open.sortedWith(compareBy<Job>({ if (it.planning) 0 else 1 }, { it.spec.priority }).thenBy { it.staleSinceMs })
-        val maxBytes = (cluster.settings.valueKb * KB * Tuning.VALUE_FILL).toInt()
+        val order = open.sortedWith(compareBy<Job>({ if (it.planning) 0 else 1 }, { it.priority }).thenBy { it.staleSinceMs })
+        val maxBytes = (cluster.limits.valueBytes * Tuning.VALUE_FILL).toInt()
         val most = minOf(room, MAX_ROUND_VALUES)
-        val records = Rounds.take(order, maxBytes, most, cluster.settings.txnOps * Tuning.GUARDS_PER_WRITE - GUARDS_KEPT)
+        val records = Rounds.take(order, maxBytes, most, mostJobs())
         for (record in records) {
             val jobs = record.parts.mapTo(LinkedHashSet()) { it.job }.map { cluster.jobs.getValue(it) }
             writes.add(Write.Round("${cluster.firstTerm}-${++number}", record, jobs))
@@ -153,6 +153,9 @@
         }
     }
 
+    /** Jobs that one transaction may touch: each needs a guard, as do the leader key and each other write. */
+    private fun mostJobs(): Int = cluster.limits.txnOps * (Tuning.GUARDS_PER_WRITE - 1) - 1
+
     fun putBack(
         writes: List<Write>,
         nowMs: Long,
@@ -189,15 +192,10 @@
     }
 
     private companion object {
-        const val KB = 1024
-
         /** Old rounds whose rest is told anew in one go. */
         const val REFRESH_AT_ONCE = 2
 
         /** Round records in one transaction. */
         const val MAX_ROUND_VALUES = 4
-
-        /** Guards of a transaction kept for what else it holds: the leader key, and jobs that end. */
-        const val GUARDS_KEPT = 20
     }
 }
--- a/src/main/kotlin/mintfield/core/model/Job.kt
+++ b/src/main/kotlin/mintfield/core/model/Job.kt
@@ -27,6 +27,8 @@
     val checkpointS: Double,
     val saveS: Double,
     val deadlineS: Double?,
+    /** The jobs that must be done before any task of this one starts. */
+    val predecessors: List<String> = emptyList(),
 )
 
 /** What a user is told of a job. */
@@ -36,6 +38,8 @@
 data class FinalState(
     val stage: Stage,
     val tasks: Int,
+    /** Time of day in milliseconds; 0 if it was not recorded. */
+    val endedAtMs: Long = 0,
 )
 
 /** A job as the state service has it: [mark] is its revision, [acceptedAtMs] the time of day of its acceptance. */
--- a/src/main/kotlin/mintfield/core/model/Settings.kt
+++ b/src/main/kotlin/mintfield/core/model/Settings.kt
@@ -45,4 +45,9 @@
     val listLagS: Double,
     val maxSockets: Int,
     val operator: OperatorSettings = OperatorSettings(),
-)
+    /** Limits of the state service that are to come without notice; null if none were named. */
+    val nextStateLimits: StateLimits? = null,
+) {
+    /** The limits of the state service that hold at first. */
+    val stateLimits: StateLimits get() = StateLimits(stateWriteRps, valueKb, txnOps)
+}
--- a/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
+++ b/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
@@ -16,7 +16,7 @@
     private val waiting: List<Job>,
     private val wallMs: Long,
 ) {
-    private fun ageMs(job: Job) = wallMs - job.acceptedAtMs
+    private fun ageMs(job: Job) = wallMs - job.readySinceMs
 
     /**
      * Arrays whose turn it is, with how many tasks each may have now: those that have not begun in time get a few, the
@@ -28,11 +28,11 @@
             if (job.spec.shape != Shape.ARRAY || job.begun || ageMs(job) < Tuning.BEGIN_MS) continue
             turns.add(job to minOf(job.askable, maxOf(1, (job.spec.tasks * Tuning.BEGIN_SHARE).toInt())))
         }
-        turns.sortWith(compareBy({ it.first.acceptedAtMs }, { it.first.spec.id }))
+        turns.sortWith(compareBy({ it.first.readySinceMs }, { it.first.spec.id }))
         val old = cluster.jobs.values.filter { it.spec.shape == Shape.ARRAY && !it.withdrawn && ageMs(it) > Tuning.OLD_MS }
         if (old.isEmpty()) return turns
         var room = capacity * Tuning.OLD_SHARE - old.sumOf { it.activeAttempts.size * it.spec.cpus }
-        val order = compareBy<Job>({ cluster.usage(it.spec.team).cpus }, { it.acceptedAtMs.toDouble() }).thenBy { it.spec.id }
+        val order = compareBy<Job>({ cluster.usage(it.spec.team).cpus }, { it.readySinceMs.toDouble() }).thenBy { it.spec.id }
         val asking = waiting.toHashSet()
         for (job in old.filter { it in asking }.sortedWith(order)) {
             val tasks = minOf(job.askable, (room / maxOf(job.spec.cpus, LEAST_CPUS)).toInt())
@@ -51,7 +51,7 @@
         val gang =
             waiting
                 .filter { it.spec.shape == Shape.GANG && ageMs(it) > Tuning.BEGIN_MS }
-                .minWithOrNull(compareBy({ it.acceptedAtMs }, { it.spec.id })) ?: return emptySet()
+                .minWithOrNull(compareBy({ it.readySinceMs }, { it.spec.id })) ?: return emptySet()
         val spec = gang.spec
         val fitting = open.filter { it.type.name in gang.fits && (!it.spot || spec.spot) && (spec.zone == null || it.zone == spec.zone) }
         val zones = if (spec.oneZone) fitting.groupBy { it.zone }.values.toList() else listOf(fitting)
--- a/src/main/kotlin/mintfield/core/placement/Urgency.kt
+++ b/src/main/kotlin/mintfield/core/placement/Urgency.kt
@@ -7,6 +7,7 @@
 import mintfield.core.jobs.Job
 import mintfield.core.model.JobSpec
 import mintfield.core.model.Objective
+import mintfield.core.model.Priority
 import mintfield.core.model.Shape
 import java.util.PriorityQueue
 
@@ -38,7 +39,7 @@
     ): List<Job> {
         val guaranteed = guaranteed()
         val order = ArrayList<Job>(waiting.size)
-        for ((_, sameRank) in waiting.groupBy { it.spec.priority }.toSortedMap()) {
+        for ((_, sameRank) in waiting.groupBy(::rank).toSortedMap()) {
             val (services, arrays) = sameRank.partition { it.spec.shape == Shape.SERVICE }
             order.addAll(services.sortedWith(compareBy({ it.acceptedAtMs }, { it.spec.id })))
             val (within, beyond) = arrays.partition { it.spec.id in guaranteed }
@@ -48,11 +49,22 @@
         return order
     }
 
+    /**
+     * The priority by which a job is ordered. An array of idle priority whose class has an aim of its own goes with the normal
+     * ones: in a pipeline whose last job is not submitted yet, nothing else says that somebody waits for it.
+     */
+    private fun rank(job: Job): Priority {
+        val expected = job.spec.shape == Shape.ARRAY && job.spec.jobClass in aims
+        return if (job.priority == Priority.IDLE && expected) Priority.NORMAL else job.priority
+    }
+
     /** Ids of jobs that, with their team's earlier unfinished ones, fit into the team's guarantee. */
     fun guaranteed(): Set<String> {
         val found = HashSet<String>()
         val used = HashMap<String, DoubleArray>()
-        for (job in cluster.jobs.values.sortedBy { it.acceptedAtMs }) {
+        for (job in cluster.jobs.values
+            .filter { it.ready }
+            .sortedBy { it.readySinceMs }) {
             val team = cluster.team(job.spec.team) ?: continue
             if (job.withdrawn || job.belief == Belief.DOUBTED || (team.cpus <= 0 && team.gpus <= 0)) continue
             val sum = used.getOrPut(job.spec.team) { DoubleArray(2) }
@@ -173,14 +185,16 @@
         val dues = ArrayList<Double>(4)
         var strict: Double? = null
         for (aim in aims[spec.jobClass].orEmpty()) {
-            val due = job.acceptedAtMs + (dueS(aim, spec, expected) ?: continue) * 1000
+            val fromMs = if (aim.kind == DEADLINE) job.acceptedAtMs else job.readySinceMs
+            val due = fromMs + (dueS(aim, spec, expected) ?: continue) * 1000
             if (due < least) continue
             dues.add(due)
             if ((aim.share ?: 0.0) >= Tuning.STRICT_SHARE && (strict == null || due < strict)) strict = due
         }
-        val own = if (aims[spec.jobClass].orEmpty().any { it.kind == "deadline" }) null else spec.deadlineS
+        val own = if (aims[spec.jobClass].orEmpty().any { it.kind == DEADLINE }) null else spec.deadlineS
         val other = own ?: if (spec.jobClass in aims) null else DEFAULT_DUE_S + expected
-        other?.let { job.acceptedAtMs + it * 1000 }?.takeIf { it >= least }?.let { dues.add(it) }
+        other?.let { job.readySinceMs + it * 1000 }?.takeIf { it >= least }?.let { dues.add(it) }
+        job.inheritedDueMs?.takeIf { it >= least }?.let { dues.add(it) }
         dues.sort()
         val left = maxOf(0.0, job.demand - job.activeAttempts.size / 2.0)
         return Claim(job, dues, strict, left * spec.cpus * expected, expected)
@@ -194,7 +208,7 @@
     ): Double? =
         when (aim.kind) {
             "finished" -> aim.withinS
-            "deadline" -> spec.deadlineS?.let { it * (aim.times ?: 1.0) }
+            DEADLINE -> spec.deadlineS?.let { it * (aim.times ?: 1.0) }
             "wait" -> aim.withinS?.let { it + expectedS }
             else -> null
         }
@@ -202,7 +216,8 @@
     private companion object {
         val LEAST_WORK = compareBy<Claim> { it.workS }.thenBy { it.job.spec.id }
 
-        val AIMS = setOf("finished", "deadline", "wait")
+        const val DEADLINE = "deadline"
+        val AIMS = setOf("finished", DEADLINE, "wait")
 
         /** Seconds; jobs without an aim of their own are ordered as if they had this one. */
         const val DEFAULT_DUE_S = 120.0
--- a/src/main/kotlin/mintfield/io/loop/Pacer.kt
+++ b/src/main/kotlin/mintfield/io/loop/Pacer.kt
@@ -8,7 +8,7 @@
 class Pacer(
     private val loop: EventLoop,
     rate: Double,
-    private val burst: Double,
+    private var burst: Double,
 ) {
     private class Waiter(
         val cost: Double,
@@ -27,6 +27,15 @@
     private val others = ArrayDeque<Waiter>()
     private var timer: EventLoop.Timer? = null
 
+    /** From now on lets through [rate] permits a second with bursts of [burst]. */
+    fun limit(
+        rate: Double,
+        burst: Double,
+    ) {
+        this.rate = rate
+        this.burst = burst
+    }
+
     /** Permits that could be had at once. */
     val available: Double
         get() {
--- a/src/main/kotlin/mintfield/io/peer/PeerLink.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerLink.kt
@@ -21,6 +21,7 @@
 import mintfield.core.leadership.StoreReach
 import mintfield.core.model.Settings
 import mintfield.core.ownership.ShareLoad
+import mintfield.core.upgrade.Generation
 import mintfield.io.http.HttpClient
 import mintfield.io.http.HttpMessage
 import mintfield.io.http.Reply
@@ -66,6 +67,12 @@
             term: Long,
         )
 
+        /** A sibling's note tells the generation of its program. */
+        fun siblingRuns(
+            member: String,
+            generation: Int,
+        )
+
         /** Questions of a sibling's leader about tasks on machines of a share that is led here; null if they cannot be answered. */
         fun guestsAsked(body: ByteArray): ByteArray?
 
@@ -155,6 +162,7 @@
             next,
             if (page.size < progress.size) progress.size else 0,
             terms.filterKeys { it != Leaderships.ONLY }.map { (share, its) -> ShareNote.of(share, its, owner.loadOf(share)) },
+            Generation.CURRENT,
         )
     }
 
@@ -231,6 +239,7 @@
         }
         val note = decode(PeerNote.serializer(), request.body) ?: return Response.error(400, "not a note")
         hearing.heard(note.member, note.storeServes, loop.nowMs())
+        owner.siblingRuns(note.member, note.generation)
         if (note.crowded) owner.siblingCrowded()
         if (note.leading) {
             val told = progressTold.getOrPut(note.member) { ProgressBoard() }
--- a/src/main/kotlin/mintfield/io/peer/PeerMessages.kt
+++ b/src/main/kotlin/mintfield/io/peer/PeerMessages.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import mintfield.core.ownership.MachineKind
 import mintfield.core.ownership.ShareLoad
+import mintfield.core.upgrade.Generation
 
 /** What controllers tell each other each second. No decision that the rules depend on rests on it, but for its answer. */
 @OptIn(ExperimentalSerializationApi::class)
@@ -23,6 +24,8 @@
     @ProtoNumber(9) val jobs: Int = 0,
     /** The shares that the sender leads, if machines are shared. */
     @ProtoNumber(10) val shares: List<ShareNote> = emptyList(),
+    /** What the sender's program can do; programs of the first generation do not say. */
+    @ProtoNumber(11) val generation: Int = Generation.FIRST,
 )
 
 /** A share that a controller leads, its term and its load. */
--- a/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
+++ b/src/main/kotlin/mintfield/io/settings/SettingsFile.kt
@@ -5,6 +5,7 @@
 import mintfield.core.model.Objective
 import mintfield.core.model.Settings
 import mintfield.core.model.Sibling
+import mintfield.core.model.StateLimits
 import mintfield.core.model.Team
 import mintfield.io.http.parseAddress
 import mintfield.io.json.Json
@@ -82,8 +83,18 @@
                 cloudRps = number(at("params.cloud"), "rps", "params.cloud."),
                 listLagS = number(at("params.cloud"), "list_lag_s", "params.cloud."),
                 maxSockets = number(at("params.resources"), "max_sockets", "params.resources.").toInt(),
+                nextStateLimits = nextStateLimits(at("params.state")),
             )
 
+        /** Each limit to come may be left out; it is then the present one. */
+        private fun nextStateLimits(state: Table): StateLimits? {
+            val value = state["next"] ?: return null
+            val next = value.asMap() ?: throw SettingsFault("$name: params.state.next: expected a table, found $value")
+
+            fun limit(field: String) = if (next[field] == null) number(state, field, "params.state.") else number(next, field, "params.state.next.")
+            return StateLimits(limit("write_rps"), limit("value_kb"), limit("txn_ops").toInt())
+        }
+
         private fun team(
             n: Table,
             where: String,
--- a/src/main/kotlin/mintfield/io/store/Keys.kt
+++ b/src/main/kotlin/mintfield/io/store/Keys.kt
@@ -13,6 +13,11 @@
     /** The controllers that operators have drained. Among the assignments, so that one watch brings both. */
     const val DRAINED = ASSIGNMENTS + "drained"
 
+    /** The generation that each controller runs, by name. */
+    const val VERSIONS = "mf/v/"
+
+    fun version(member: String) = VERSIONS + member
+
     fun live(id: String) = LIVE + id
 
     fun final(id: String) = FINAL + id
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -25,11 +25,25 @@
  * the rule does not want is left out, and computed anew by a replay.
  */
 object Records {
+    /** The field of a controller's generation. */
+    const val GENERATION = "generation"
+
+    private const val INDEPENDENT_SPEC = "spec"
+
+    /**
+     * The field of a specification with predecessors. A version that does not know of predecessors finds no specification and
+     * starts nothing; by the usual name it would start the job at once.
+     */
+    private const val DEPENDENT_SPEC = "dependent"
+
+    /** Stands for a name that was left out of a record. */
+    private const val LEFT_OUT = "-"
+
     private val FINAL_STAGES = listOf(Stage.DONE, Stage.WITHDRAWN).associateBy { it.name.lowercase() }
 
     fun live(job: AcceptedJob): ByteArray =
         Json.obj {
-            writeFieldName("spec")
+            writeFieldName(if (job.spec.predecessors.isEmpty()) INDEPENDENT_SPEC else DEPENDENT_SPEC)
             JobCodec.write(this, job.spec)
             writeNumberField("at", job.acceptedAtMs)
             if (job.withdrawn) writeBooleanField("withdrawn", true)
@@ -40,12 +54,28 @@
             }
         }
 
+    fun generation(generation: Int): ByteArray = Json.obj { writeNumberField(GENERATION, generation) }
+
+    /**
+     * The record of a job that is now withdrawn. One that was written under higher limits may be larger than [maxBytes]; then what
+     * only a start of its tasks needs is left out, as they never start again.
+     */
+    fun withdrawn(
+        job: AcceptedJob,
+        maxBytes: Int,
+    ): ByteArray {
+        val whole = live(job.copy(withdrawn = true))
+        if (whole.size <= maxBytes) return whole
+        val spec = job.spec.copy(jobClass = LEFT_OUT, image = LEFT_OUT, types = null, zone = null, predecessors = emptyList())
+        return live(job.copy(spec = spec, withdrawn = true, fits = emptyList()))
+    }
+
     fun parseLive(
         data: Map<String, Any?>,
         mark: Long,
         fitsAnew: (AcceptedJob) -> List<String>,
     ): AcceptedJob? {
-        val spec = (JobCodec.parse(data["spec"]) as? JobCodec.Parsed.Valid)?.spec ?: return null
+        val spec = (JobCodec.parse(data[INDEPENDENT_SPEC] ?: data[DEPENDENT_SPEC]) as? JobCodec.Parsed.Valid)?.spec ?: return null
         val fits = data["fits"].asList()?.filterIsInstance<String>()
         val job = AcceptedJob(spec, mark, data.long("at") ?: 0, data.bool("withdrawn") ?: false, fits ?: emptyList())
         return if (fits == null) job.copy(fits = fitsAnew(job)) else job
@@ -55,12 +85,13 @@
         Json.obj {
             writeStringField("stage", state.stage.name.lowercase())
             writeNumberField("tasks", state.tasks)
+            if (state.endedAtMs > 0) writeNumberField("at", state.endedAtMs)
         }
 
     /** Null if it cannot be read: what is not known to be withdrawn is not called so. */
     fun parseFinal(data: Map<String, Any?>): FinalState? {
         val stage = FINAL_STAGES[data.string("stage")] ?: return null
-        return FinalState(stage, data.long("tasks")?.toInt() ?: 0)
+        return FinalState(stage, data.long("tasks")?.toInt() ?: 0, data.long("at") ?: 0)
     }
 
     private fun plans(
@@ -141,23 +172,26 @@
             )
         }
 
-    /** Cut to what [maxBytes] allows: the machines that come last are left out. */
+    /** Cut to what [maxBytes] allows: the machines that come last are left out, then classes and jobs. */
     fun hints(
         hints: Hints,
         maxBytes: Int,
     ): ByteArray {
         var machines = hints.machineImages.entries.toList()
+        var classes = hints.logRatio.entries.toList()
+        var doubted = hints.doubted.entries.toList()
         while (true) {
             val bytes =
                 Json.obj {
                     writeObjectFieldStart("ratio")
-                    hints.logRatio.forEach { (k, v) -> writeNumberField(k, v) }
+                    classes.forEach { (k, v) -> writeNumberField(k, v) }
                     writeEndObject()
                     writeObjectFieldStart("gb")
-                    hints.imageGb.forEach { (k, v) -> writeNumberField(k, v) }
+                    val named = machines.flatMapTo(HashSet()) { it.value }
+                    hints.imageGb.forEach { (k, v) -> if (k in named) writeNumberField(k, v) }
                     writeEndObject()
                     writeObjectFieldStart("doubted")
-                    hints.doubted.forEach { (k, v) -> writeNumberField(k, v) }
+                    doubted.forEach { (k, v) -> writeNumberField(k, v) }
                     writeEndObject()
                     writeObjectFieldStart("machines")
                     for ((id, images) in machines) {
@@ -167,7 +201,12 @@
                     }
                     writeEndObject()
                 }
-            if (bytes.size <= maxBytes || machines.isEmpty()) return bytes
+            if (bytes.size <= maxBytes) return bytes
+            if (machines.isEmpty()) {
+                check(classes.isNotEmpty() || doubted.isNotEmpty()) { "a value of $maxBytes bytes holds no hints at all" }
+                classes = classes.take(classes.size / 2)
+                doubted = doubted.take(doubted.size / 2)
+            }
             machines = machines.take(machines.size * 3 / 4)
         }
     }
--- a/src/main/kotlin/mintfield/io/store/StoreClient.kt
+++ b/src/main/kotlin/mintfield/io/store/StoreClient.kt
@@ -70,6 +70,11 @@
     ) : TxnOutcome
 
     data object LeaseGone : TxnOutcome
+
+    /** It was not executed, and would not be if it came again: it is larger than is permitted, or wrong. */
+    data class Malformed(
+        val reason: String,
+    ) : TxnOutcome
 }
 
 /** A change of one key. */
@@ -172,7 +177,7 @@
                     if (a.json.string("error") == "no such lease") {
                         TxnOutcome.LeaseGone
                     } else {
-                        throw IllegalStateException("the state service calls a transaction malformed: ${String(a.body)}")
+                        TxnOutcome.Malformed(String(a.body))
                     }
             }
         }
--- a/src/main/kotlin/mintfield/io/worker/JobCodec.kt
+++ b/src/main/kotlin/mintfield/io/worker/JobCodec.kt
@@ -26,6 +26,7 @@
         reason: String,
     ) : Exception(reason, null, false, false)
 
+    private const val PREDECESSORS = "awaits"
     private const val MAX_TASKS = 100_000
     private const val MAX_ID = 64
     private const val MAX_NAME = 200
@@ -87,6 +88,7 @@
         checkpointS = amount(map, "harvestS"),
         saveS = amount(map, "baleS"),
         deadlineS = map["dueS"]?.let { amount(map, "dueS") },
+        predecessors = predecessors(map),
     )
 
     private fun pieces(map: Map<String, Any?>): Int {
@@ -127,6 +129,13 @@
         return list.map { (it as? String)?.takeIf { s -> s.isNotEmpty() && s.length <= MAX_NAME } ?: throw Bad("$field: expected names") }
     }
 
+    /** Names that are no job ids are kept: such a job was never accepted, which is for the submission to say. */
+    private fun predecessors(map: Map<String, Any?>): List<String> {
+        val value = map[PREDECESSORS] ?: return emptyList()
+        val list = value.asList() ?: throw Bad("$PREDECESSORS: expected a list or null")
+        return list.map { it as? String ?: throw Bad("$PREDECESSORS: expected job ids") }.distinct()
+    }
+
     fun write(
         g: JsonGenerator,
         s: JobSpec,
@@ -163,6 +172,11 @@
         g.writeNumberField("harvestS", s.checkpointS)
         g.writeNumberField("baleS", s.saveS)
         s.deadlineS?.let { g.writeNumberField("dueS", it) }
+        if (s.predecessors.isNotEmpty()) {
+            g.writeArrayFieldStart(PREDECESSORS)
+            s.predecessors.forEach { g.writeString(it) }
+            g.writeEndArray()
+        }
         g.writeEndObject()
     }
 }
--- a/src/test/kotlin/mintfield/JobReplicaTest.kt
+++ b/src/test/kotlin/mintfield/JobReplicaTest.kt
@@ -49,6 +49,14 @@
                 override fun removed(id: String) {
                     told += "$id removed"
                 }
+
+                override fun becameReady(id: String) {
+                    told += "$id ready"
+                }
+
+                override fun becameDoomed(id: String) {
+                    told += "$id doomed"
+                }
             }
         return told
     }
