--- a/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
+++ b/src/main/kotlin/mintfield/app/warmup/InMemoryStateService.kt
@@ -53,6 +53,11 @@
     /** Submissions that one transaction may hold; a larger one is refused as too many. */
     @Volatile var mostSubmissions = Int.MAX_VALUE
 
+    /** Bytes of a value and writes of a transaction that are permitted; a larger one is called malformed. */
+    @Volatile var mostValueBytes = Int.MAX_VALUE
+
+    @Volatile var mostWrites = Int.MAX_VALUE
+
     /** Puts [json] under [key], whatever the rules. */
     fun plant(
         key: String,
@@ -153,6 +158,8 @@
         val writes = body["writes"].asList().orEmpty().map { it.asMap()!! }
         val keys = writes.map { it.string("write") ?: it.string("delete") }
         if (keys.toSet().size < keys.size) return Response.error(400, "a key is written twice")
+        if (writes.size > mostWrites) return Response.error(400, "too many writes")
+        if (writes.any { text(it["data"]).length > mostValueBytes }) return Response.error(400, "a value is too large")
         if (writes.any { w -> w.long("tenancy")?.let { it !in leases } == true }) return Response.error(400, "no such lease")
         if (writes.count { "/l/" in it.string("write").orEmpty() } > mostSubmissions) return Response.error(429, "too many")
         if (writes.isNotEmpty()) revision++
--- /dev/null
+++ b/src/test/kotlin/mintfield/dependencies/DependencyGraphTest.kt
@@ -0,0 +1,210 @@
+package mintfield.dependencies
+
+import mintfield.Fixtures
+import mintfield.core.dependencies.DependencyGraph
+import mintfield.core.dependencies.DependencyListener
+import mintfield.core.jobs.KnownJob
+import mintfield.core.model.AcceptedJob
+import mintfield.core.model.FinalState
+import mintfield.core.model.Stage
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class DependencyGraphTest {
+    private val known = HashMap<String, KnownJob>()
+    private val events = ArrayList<String>()
+    private val graph =
+        DependencyGraph { known[it] }.also {
+            it.listener =
+                object : DependencyListener {
+                    override fun becameReady(id: String) {
+                        events += "$id ready"
+                    }
+
+                    override fun becameDoomed(id: String) {
+                        events += "$id doomed"
+                    }
+                }
+        }
+
+    private fun job(
+        id: String,
+        vararg predecessors: String,
+        withdrawn: Boolean = false,
+    ): AcceptedJob = Fixtures.accepted(Fixtures.spec(id).copy(predecessors = predecessors.toList()), mark = 1, withdrawn = withdrawn)
+
+    private fun submitted(
+        id: String,
+        vararg predecessors: String,
+    ) = graph.written(job(id, *predecessors))
+
+    /** As a watch tells it: the final state, and the end of the record. */
+    private fun ends(
+        id: String,
+        stage: Stage = Stage.DONE,
+        atMs: Long = 0,
+    ) {
+        graph.ended(id, FinalState(stage, 1, atMs))
+        graph.removed(id)
+    }
+
+    @Test
+    fun `a job is ready when the last of its predecessors is recorded as done`() {
+        known["wk-1"] = KnownJob.Live(job("wk-1"))
+        known["wk-2"] = KnownJob.Live(job("wk-2"))
+        submitted("wk-3", "wk-1", "wk-2")
+        assertFalse(graph.isReady("wk-3"))
+        ends("wk-1", atMs = 500)
+        assertEquals(listOf("wk-2"), graph.awaitedBy("wk-3"))
+        ends("wk-2", atMs = 700)
+        assertEquals(listOf("wk-3 ready"), events)
+        assertEquals(700, graph.readySinceMs("wk-3"))
+    }
+
+    @Test
+    fun `the record of a predecessor that is gone without a known end proves nothing`() {
+        known["wk-1"] = KnownJob.Live(job("wk-1"))
+        submitted("wk-2", "wk-1")
+        graph.removed("wk-1")
+        assertFalse(graph.isReady("wk-2"))
+        assertEquals(setOf("wk-1"), graph.unresolved)
+        assertEquals(listOf("wk-1"), graph.unresolvedBefore("wk-2"))
+        graph.ended("wk-1", FinalState(Stage.DONE, 1))
+        assertTrue(graph.isReady("wk-2"))
+        assertEquals(emptySet<String>(), graph.unresolved)
+    }
+
+    @Test
+    fun `a withdrawn predecessor dooms all successors of a diamond, once each, and those that come later`() {
+        known["wk-1"] = KnownJob.Live(job("wk-1"))
+        submitted("wk-2", "wk-1")
+        submitted("wk-3", "wk-1")
+        submitted("wk-4", "wk-2", "wk-3")
+        graph.written(job("wk-1", withdrawn = true))
+        assertEquals(setOf("wk-2 doomed", "wk-3 doomed", "wk-4 doomed"), events.toSet())
+        assertEquals(3, events.size)
+        submitted("wk-5", "wk-4")
+        assertTrue(graph.isDoomed("wk-5"))
+    }
+
+    @Test
+    fun `cancelling the middle of a chain leaves what was before it`() {
+        known["wk-1"] = KnownJob.Live(job("wk-1"))
+        submitted("wk-2", "wk-1")
+        submitted("wk-3", "wk-2")
+        graph.written(job("wk-2", "wk-1", withdrawn = true))
+        assertEquals(listOf("wk-3 doomed"), events)
+        ends("wk-1")
+        assertFalse(graph.isReady("wk-3"), "its predecessor is withdrawn, whatever becomes of the one before")
+    }
+
+    @Test
+    fun `a final state is never left`() {
+        known["wk-1"] = KnownJob.Live(job("wk-1"))
+        submitted("wk-2", "wk-1")
+        graph.ended("wk-1", FinalState(Stage.DONE, 1))
+        graph.written(job("wk-1", withdrawn = true))
+        graph.ended("wk-1", FinalState(Stage.WITHDRAWN, 1))
+        assertTrue(graph.isReady("wk-2"))
+        assertEquals(listOf("wk-2 ready"), events)
+    }
+
+    @Test
+    fun `records may be read in any order`() {
+        submitted("wk-3", "wk-2")
+        submitted("wk-2", "wk-1")
+        submitted("wk-1")
+        assertEquals(emptySet<String>(), graph.unresolved)
+        listOf("wk-1", "wk-2").forEach { ends(it) }
+        assertEquals(listOf("wk-2 ready", "wk-3 ready"), events)
+    }
+
+    @Test
+    fun `long chains and wide fans neither overflow the stack nor stay in memory`() {
+        submitted("wk-0")
+        for (i in 1..CHAIN) submitted("wk-$i", "wk-${i - 1}")
+        for (i in 1..FAN) submitted("fan-$i", "wk-$CHAIN")
+        graph.written(job("wk-0", withdrawn = true))
+        assertEquals(CHAIN + FAN, events.size)
+        for (i in 0..CHAIN) ends("wk-$i", Stage.WITHDRAWN)
+        for (i in 1..FAN) ends("fan-$i", Stage.WITHDRAWN)
+        assertEquals(0, graph.all.size)
+    }
+
+    /** Whatever the order of what is heard, the graph says what a search through the whole history says. */
+    @Test
+    fun `random pipelines agree with a search through all that is recorded`() {
+        repeat(SEEDS) { seed -> randomPipelines(Random(seed)) }
+    }
+
+    private fun randomPipelines(random: Random) {
+        known.clear()
+        val graph = DependencyGraph { known[it] }
+        val jobs = ArrayList<AcceptedJob>()
+        repeat(RANDOM_STEPS) {
+            val open = jobs.filter { known[it.spec.id] is KnownJob.Live }
+            val chosen = open.randomOrNull(random)
+            when (random.nextInt(4)) {
+                0, 1 -> {
+                    val job =
+                        job(
+                            "wk-${jobs.size}",
+                            *jobs
+                                .shuffled(random)
+                                .take(random.nextInt(3))
+                                .map { it.spec.id }
+                                .toTypedArray(),
+                        )
+                    jobs += job
+                    known[job.spec.id] = KnownJob.Live(job)
+                    graph.written(job)
+                }
+                2 -> if (chosen != null && chosen.spec.predecessors.all { isDone(it) }) end(graph, chosen, Stage.DONE, random)
+                else -> if (chosen != null) end(graph, chosen, Stage.WITHDRAWN, random)
+            }
+            for (job in jobs.filter { known[it.spec.id] is KnownJob.Live }) {
+                val id = job.spec.id
+                assertEquals(job.spec.predecessors.any { isWithdrawn(it, jobs) }, graph.isDoomed(id), "$id doomed")
+                assertEquals(job.spec.predecessors.all { isDone(it) }, graph.isReady(id), "$id ready")
+            }
+        }
+    }
+
+    private fun end(
+        graph: DependencyGraph,
+        job: AcceptedJob,
+        stage: Stage,
+        random: Random,
+    ) {
+        val id = job.spec.id
+        known[id] = KnownJob.Ended(FinalState(stage, 0))
+        val removedFirst = random.nextBoolean()
+        if (removedFirst) graph.removed(id)
+        graph.ended(id, FinalState(stage, 0))
+        if (!removedFirst) graph.removed(id)
+    }
+
+    private fun isDone(id: String) = (known[id] as? KnownJob.Ended)?.state?.stage == Stage.DONE
+
+    private fun isWithdrawn(
+        id: String,
+        jobs: List<AcceptedJob>,
+    ): Boolean {
+        val ended = known[id] as? KnownJob.Ended
+        if (ended != null) return ended.state.stage == Stage.WITHDRAWN
+        return jobs
+            .first { it.spec.id == id }
+            .spec.predecessors
+            .any { isWithdrawn(it, jobs) }
+    }
+
+    private companion object {
+        const val CHAIN = 20_000
+        const val FAN = 500
+        const val SEEDS = 200
+        const val RANDOM_STEPS = 60
+    }
+}
