--- a/src/main/kotlin/mintfield/app/Main.kt
+++ b/src/main/kotlin/mintfield/app/Main.kt
@@ -1,5 +1,6 @@
 package mintfield.app
 
+import mintfield.app.pipelines.PipelineCommand
 import mintfield.app.sharing.MachinesCommand
 import mintfield.app.warmup.WarmUp
 import mintfield.core.model.LogFormat
@@ -27,12 +28,14 @@
 private const val CHECK = "check"
 private const val WARM_UP = "warm-up"
 private const val MACHINES = "machines"
+private const val PIPELINE = "pipeline"
 
 private const val USAGE =
-    "mintfield --config FILE [--operator FILE] | check FILE | machines show [SHARE] [--json] | " +
+    "mintfield --config FILE [--operator FILE] | check FILE | pipeline JOB | machines show [SHARE] [--json] | " +
         "machines move MACHINE SHARE | machines cancel MACHINE | machines drain CONTROLLER | machines resume CONTROLLER | machines unshare"
 private const val COMMANDS =
     "check FILE: checks a settings file (TOML, or HCL by its ending .hcl) and says what is wrong with it; " +
+        "pipeline JOB, with --config: how the job stands, and those that it waits for; " +
         "machines, with --config and --operator: who owns machines and which of them move, orders a move or takes it back, " +
         "has a controller give its shares to others or lead again, ends the sharing"
 
@@ -64,6 +67,7 @@
             null -> serve(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR))
             CHECK -> check(words.drop(1).singleOrNull() ?: refuse("$CHECK expects one FILE"))
             MACHINES -> machines(line.getOptionValue(CONFIG), line.getOptionValue(OPERATOR), line.hasOption(JSON), words.drop(1))
+            PIPELINE -> pipeline(line.getOptionValue(CONFIG), words.drop(1).singleOrNull() ?: refuse("$PIPELINE expects one JOB"))
             WARM_UP -> {
                 WarmUp().run()
                 exitProcess(0)
@@ -94,6 +98,13 @@
     Node(settings).run()
 }
 
+private fun pipeline(
+    config: String?,
+    id: String,
+) {
+    exitProcess(PipelineCommand(settings(config, operatorFile = null), ::println).run(id))
+}
+
 private fun machines(
     config: String?,
     operatorFile: String?,
--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -7,6 +7,7 @@
 import mintfield.app.sharing.SharePart
 import mintfield.app.sharing.SharingActivation
 import mintfield.app.sharing.SharingNode
+import mintfield.app.upgrade.VersionRecords
 import mintfield.core.FleetRoom
 import mintfield.core.SocketBounds
 import mintfield.core.Tuning
--- a/src/main/kotlin/mintfield/app/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/UserApi.kt
@@ -1,6 +1,9 @@
 package mintfield.app
 
 import kotlinx.coroutines.CompletableDeferred
+import mintfield.app.pipelines.PredecessorLookup
+import mintfield.app.pipelines.Predecessors
+import mintfield.app.upgrade.VersionRecords
 import mintfield.core.Tuning
 import mintfield.core.jobs.KnownJob
 import mintfield.core.model.AcceptedJob
--- a/src/main/kotlin/mintfield/app/PredecessorLookup.kt
+++ b/src/main/kotlin/mintfield/app/pipelines/PredecessorLookup.kt
@@ -1,5 +1,6 @@
-package mintfield.app
+package mintfield.app.pipelines
 
+import mintfield.app.JobView
 import mintfield.core.jobs.KnownJob
 import mintfield.core.model.Shape
 import mintfield.core.model.Stage
--- a/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
+++ b/src/main/kotlin/mintfield/app/sharing/MachinesCommand.kt
@@ -1,13 +1,8 @@
 package mintfield.app.sharing
 
-import kotlinx.coroutines.launch
-import mintfield.app.Outside
+import mintfield.app.CommandLoop
 import mintfield.core.model.Settings
 import mintfield.core.ownership.Refusal
-import mintfield.io.loop.EventLoop
-import mintfield.io.loop.scope
-import java.nio.channels.AsynchronousChannelGroup
-import java.util.concurrent.CompletableFuture
 
 /** The command `machines`: shows who owns machines and which of them move, orders moves and takes them back, drains controllers. */
 class MachinesCommand(
@@ -34,21 +29,10 @@
     }
 
     private fun onLoop(action: suspend (MachineOrders) -> Int): Int {
-        val loop = EventLoop()
         val tracer = MoveTracing.of(settings, "machines")
-        loop.start()
-        val group = AsynchronousChannelGroup.withThreadPool(loop.executor)
-        val code = CompletableFuture<Int>()
-        loop.post {
-            val outside = Outside(settings, loop, group)
-            loop.scope().launch { code.complete(action(MachineOrders(settings.operator.sharing!!, controllers, outside.store, tracer))) }
-        }
         return try {
-            code.get()
+            CommandLoop.run(settings) { action(MachineOrders(settings.operator.sharing!!, controllers, it.store, tracer)) }
         } finally {
-            // The state service's connections are bounded; whoever asks often, such as a test, would use them up.
-            group.shutdownNow()
-            loop.stop()
             (tracer as? AutoCloseable)?.close()
         }
     }
--- a/src/main/kotlin/mintfield/app/VersionRecords.kt
+++ b/src/main/kotlin/mintfield/app/upgrade/VersionRecords.kt
@@ -1,4 +1,4 @@
-package mintfield.app
+package mintfield.app.upgrade
 
 import kotlinx.coroutines.delay
 import mintfield.core.Tuning
--- a/src/test/kotlin/mintfield/SettingsTest.kt
+++ b/src/test/kotlin/mintfield/SettingsTest.kt
@@ -62,6 +62,16 @@
         assertEquals(2.0, s.teams.single().cpusMax)
     }
 
+    @Test
+    fun `limits of the state service to come may be named, each or only some`() {
+        assertEquals(null, SettingsFile.parse(good, "s.toml").nextStateLimits)
+        val some = good.replace("[params.cloud]", "[params.state.next]\nvalue_kb = 2.0\n[params.cloud]")
+        val settings = SettingsFile.parse(some, "s.toml")
+        assertEquals(settings.stateLimits.copy(valueKb = 2.0), settings.nextStateLimits)
+        val wrong = some.replace("value_kb = 2.0", "value_kb = -2.0")
+        assertEquals("s.toml: params.state.next.value_kb: expected a number of more than 0, found -2.0", fault(wrong))
+    }
+
     @Test
     fun `a fault names the field and what was expected`() {
         assertEquals("s.toml: params.state.rps: expected a number of more than 0, found -1", fault(good.replace("rps = 200.0", "rps = -1")))
--- /dev/null
+++ b/src/test/kotlin/mintfield/dependencies/InheritedUrgencyTest.kt
@@ -0,0 +1,121 @@
+package mintfield.dependencies
+
+import mintfield.Fixtures
+import mintfield.core.Cluster
+import mintfield.core.dependencies.DependencyGraph
+import mintfield.core.dependencies.InheritedUrgency
+import mintfield.core.jobs.Job
+import mintfield.core.model.FinalState
+import mintfield.core.model.Priority
+import mintfield.core.model.Stage
+import mintfield.core.placement.Urgency
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class InheritedUrgencyTest {
+    private val cluster = Cluster(Fixtures.settings, 1) {}.also { it.types["box"] = Fixtures.box }
+    private val graph = DependencyGraph { null }
+    private val urgency = InheritedUrgency(cluster, graph)
+    private var revision = 1L
+    private var nowMs = 0L
+
+    private fun submit(
+        id: String,
+        vararg predecessors: String,
+        priority: Priority = Priority.IDLE,
+        deadlineS: Double? = null,
+        tasks: Int = 2,
+        team: String = "floor",
+    ): Job {
+        val spec =
+            Fixtures
+                .spec(
+                    id,
+                    tasks,
+                    priority = priority,
+                    estimateS = 20.0,
+                    deadlineS = deadlineS,
+                    team = team,
+                ).copy(predecessors = predecessors.toList())
+        val accepted = Fixtures.accepted(spec, ++revision)
+        graph.written(accepted)
+        return Job(accepted).also { cluster.jobs[id] = it }
+    }
+
+    private fun refresh() = urgency.refresh(++nowMs)
+
+    private fun end(
+        id: String,
+        stage: Stage,
+    ) {
+        graph.ended(id, FinalState(stage, 1))
+        graph.removed(id)
+        cluster.jobs.remove(id)
+    }
+
+    @Test
+    fun `the last job's priority and deadline reach the first, less what is between`() {
+        val first = submit("wk-1")
+        val middle = submit("wk-2", "wk-1")
+        submit("wk-3", "wk-2", priority = Priority.HIGH, deadlineS = 200.0)
+        refresh()
+        assertEquals(listOf(Priority.HIGH, Priority.HIGH), listOf(first.priority, middle.priority))
+        val middleDue = middle.inheritedDueMs!!
+        val firstDue = first.inheritedDueMs!!
+        assertTrue(middleDue < 200_000 - 20_000, "the last job runs for 20 s: $middleDue")
+        assertEquals(200_000 - middleDue, middleDue - firstDue, 1.0)
+    }
+
+    @Test
+    fun `the most urgent of several successors counts, until it ends or is cancelled`() {
+        val first = submit("wk-1")
+        submit("wk-2", "wk-1", priority = Priority.HIGH, deadlineS = 100.0)
+        submit("wk-3", "wk-1", priority = Priority.NORMAL, deadlineS = 300.0)
+        refresh()
+        val due = first.inheritedDueMs!!
+        end("wk-2", Stage.WITHDRAWN)
+        refresh()
+        assertEquals(Priority.NORMAL, first.priority)
+        assertTrue(first.inheritedDueMs!! > due)
+        end("wk-3", Stage.WITHDRAWN)
+        refresh()
+        assertEquals(Priority.IDLE to null, first.priority to first.inheritedDueMs)
+    }
+
+    @Test
+    fun `a late last job makes those before it urgent when it comes`() {
+        val first = submit("wk-1")
+        val second = submit("wk-2", "wk-1")
+        refresh()
+        assertEquals(Priority.IDLE, first.priority)
+        submit("wk-3", "wk-2", priority = Priority.PRODUCTION)
+        refresh()
+        assertEquals(listOf(Priority.PRODUCTION, Priority.PRODUCTION), listOf(first.priority, second.priority))
+    }
+
+    @Test
+    fun `a job that waits for others asks for nothing and holds no part of its team's guarantee`() {
+        submit("wk-1", team = "small")
+        val waiting = submit("wk-2", "wk-1", tasks = 2, team = "small")
+        assertEquals(listOf(0, 0), listOf(waiting.askable, waiting.demand))
+        submit("wk-3", tasks = 0, team = "small")
+        assertEquals(setOf("wk-1", "wk-3"), Urgency(cluster).guaranteed())
+        waiting.becomeReady(5_000)
+        assertEquals(2, waiting.askable)
+        assertEquals(5_000L, waiting.readySinceMs)
+    }
+
+    @Test
+    fun `a chain of thousands is handed on in one pass`() {
+        submit("wk-0")
+        for (i in 1 until CHAIN) submit("wk-$i", "wk-${i - 1}")
+        submit("wk-$CHAIN", "wk-${CHAIN - 1}", priority = Priority.HIGH)
+        refresh()
+        assertEquals(Priority.HIGH, cluster.jobs.getValue("wk-0").priority)
+    }
+
+    private companion object {
+        const val CHAIN = 10_000
+    }
+}
--- a/src/test/kotlin/mintfield/standin/PipelineServiceTest.kt
+++ b/src/test/kotlin/mintfield/standin/PipelineServiceTest.kt
@@ -1,5 +1,6 @@
 package mintfield.standin
 
+import mintfield.app.pipelines.PipelineCommand
 import mintfield.core.model.StateLimits
 import mintfield.io.http.Reply
 import mintfield.io.json.string
@@ -46,6 +47,13 @@
         id: String,
     ) = cluster.ask(node, "POST", "/v1/jobs/$id/abort")!!.json.string("stage")
 
+    /** What the operators' command prints. */
+    private fun shown(id: String): List<String> {
+        val lines = ArrayList<String>()
+        assertEquals(PipelineCommand.DONE, PipelineCommand(cluster.nodes.first().settings, lines::add).run(id))
+        return lines
+    }
+
     private fun started(job: String) = standIns.workers.flatMap { it.started }.count { it.job == job }
 
     @Test
@@ -59,6 +67,8 @@
         assertEquals("pending", stage(nodes[1], "wk-4"))
         await("the first job is done") { stage(nodes[1], "wk-1") == "done" }
         assertEquals(0, started("wk-4"))
+        assertEquals("wk-4 unfinished, submitted to start after 2 others:", shown("wk-4").first())
+        assertEquals(listOf("wk-4", "wk-2", "wk-1", "wk-3"), shown("wk-4").filter { "as above" !in it }.map { it.trim().substringBefore(' ') })
         await("the last job is done") { stage(nodes[2], "wk-4") == "done" }
         assertEquals(8, standIns.workers.sumOf { it.started.size })
         assertEquals(201, submit(nodes[1], "wk-5", "wk-1", "wk-4").status)
