--- a/src/main/kotlin/mintfield/app/Node.kt
+++ b/src/main/kotlin/mintfield/app/Node.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import mintfield.app.pipelines.PredecessorLookup
 import mintfield.app.sharing.MoveTracing
 import mintfield.app.sharing.ShareLeader
 import mintfield.app.sharing.SharePart
@@ -59,10 +60,11 @@
         ChangeWriter(loop, scope, outside.store, outside.stateLimits)
     private val versions = VersionRecords(settings, outside.store, loop)
     private val peers = PeerLink(loop, scope, settings, outside, this)
-    private val users =
-        UserApi(settings, outside.store, view, changes, versions, outside.stateLimits, {
-            outside.types.values
-        }, ::progress, cancellations::telling) { peers.storeCut() }
+    private val answers = JobAnswers(outside.store, view, ::progress, cancellations::telling) { peers.storeCut() }
+    private val predecessors = PredecessorLookup(outside.store, view)
+    private val submissions =
+        JobSubmissions(settings, view, answers, changes, predecessors, versions, outside.stateLimits, { outside.types.values }) { peers.storeCut() }
+    private val users = UserApi(answers, submissions, view, changes, outside.stateLimits)
     private val reports = WorkerReports(loop, settings, peers, leaderships)
     private val bounds = SocketBounds(settings)
     private val clientServer = HttpServer(loop, scope, group, bounds.incoming, ::client)
--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -133,7 +133,7 @@
             lastRoundMs = nowMs
             lastReplicaRoundMs = nowMs
             cluster.roundWanted = false
-            inheritedUrgency.refresh(nowMs)
+            inheritedUrgency.refresh(nowMs, wallMs)
             blame.look(nowMs)
             round.run(nowMs, wallMs, most)
             return
--- a/src/main/kotlin/mintfield/core/Tuning.kt
+++ b/src/main/kotlin/mintfield/core/Tuning.kt
@@ -167,8 +167,12 @@
     const val STAGE_RUN = 1.3
     const val STAGE_START_MS = 1_500.0
 
+    /** Milliseconds before the last moment at which a job of a pipeline can begin and be in time from which on it displaces others with its
+     *  inherited priority, and after which it does so no more. */
+    const val STAGE_PRESSING_MS = 8_000.0
+
     /** Milliseconds after which inherited deadlines are reckoned anew, since run times are learned meanwhile. */
-    const val INHERITANCE_MS = 5_000L
+    const val INHERITANCE_MS = 2_000L
 
     /** Milliseconds between two looks at which generation the other controllers run, while that is asked for and not known. */
     const val VERSION_RETRY_MS = 1_000L
--- a/src/main/kotlin/mintfield/core/dependencies/InheritedUrgency.kt
+++ b/src/main/kotlin/mintfield/core/dependencies/InheritedUrgency.kt
@@ -29,7 +29,10 @@
     )
 
     /** Brings the jobs up to date, if the graph has changed or the run times may have been learned anew. */
-    fun refresh(nowMs: Long) {
+    fun refresh(
+        nowMs: Long,
+        wallMs: Long,
+    ) {
         if (seenVersion == dependencies.version && nowMs - refreshedAtMs < Tuning.INHERITANCE_MS) return
         seenVersion = dependencies.version
         refreshedAtMs = nowMs
@@ -41,6 +44,7 @@
             val job = cluster.jobs[node.id]
             if (job != null && inherited.isNotEmpty()) {
                 inherit(job, inherited)
+                job.pressing = presses(job, node, wallMs)
                 jobs.add(job)
             }
             if (node.wanted) urgencies[node] = passedOn(node, inherited)
@@ -51,6 +55,19 @@
     private fun reset(job: Job) {
         job.priority = job.spec.priority
         job.inheritedDueMs = null
+        job.pressing = false
+    }
+
+    /** Once it is too late it presses no more: then nothing is gained by stopping others. */
+    private fun presses(
+        job: Job,
+        node: DependencyGraph.Node,
+        wallMs: Long,
+    ): Boolean {
+        val dueMs = job.inheritedDueMs ?: return false
+        if (node.job == null) return false
+        val endsMs = wallMs + durationMs(node)
+        return endsMs + Tuning.STAGE_PRESSING_MS > dueMs && endsMs < dueMs + Tuning.STAGE_PRESSING_MS
     }
 
     private fun inherit(
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -102,6 +102,15 @@
     /** The highest of its own priority and those of the jobs that depend on it. */
     var priority: Priority = spec.priority
 
+    /** Whether it must start now for the jobs that depend on it to meet their deadlines. */
+    var pressing = false
+
+    /**
+     * The priority with which it displaces others: its own, unless it presses. Room comes free all the time, and it is the first to
+     * get it; to stop what runs for a job that can wait a few seconds costs more than it gains.
+     */
+    val displacingPriority: Priority get() = if (pressing) priority else spec.priority
+
     /** When it must be done for the jobs that depend on it to meet their deadlines, time of day in milliseconds. */
     var inheritedDueMs: Double? = null
     var withdrawn = accepted.withdrawn
--- a/src/main/kotlin/mintfield/core/placement/Exhausted.kt
+++ b/src/main/kotlin/mintfield/core/placement/Exhausted.kt
@@ -54,7 +54,7 @@
     /** Null if the choice depends on more: on where other tasks of the job are or failed, or on what it may displace. */
     private fun kindOf(job: Job): Kind? {
         val spec = job.spec
-        if (spec.shape != Shape.ARRAY || job.priority < Priority.NORMAL) return null
+        if (spec.shape != Shape.ARRAY || job.displacingPriority < Priority.NORMAL) return null
         if (spec.oneZone || spec.spread || job.failedOn.isNotEmpty()) return null
         return Kind(spec.image, spec.imageGb, spec.cpus, spec.gpus, spec.memoryGb, job.fits, spec.types, spec.spot, spec.zone)
     }
--- a/src/main/kotlin/mintfield/core/placement/RoomyMachines.kt
+++ b/src/main/kotlin/mintfield/core/placement/RoomyMachines.kt
@@ -27,7 +27,7 @@
 
     /** Where a task of [job] could go: all open machines, if it may displace others or is no array's. */
     fun forJob(job: Job): List<Machine> {
-        if (job.spec.shape != Shape.ARRAY || job.priority < Priority.NORMAL) return open
+        if (job.spec.shape != Shape.ARRAY || job.displacingPriority < Priority.NORMAL) return open
         if (++tried % LOOK_AGAIN == 0) roomy = roomy.filter { hasRoom(it) }
         return roomy
     }
--- a/src/main/kotlin/mintfield/core/placement/Round.kt
+++ b/src/main/kotlin/mintfield/core/placement/Round.kt
@@ -34,7 +34,7 @@
         val reserve = ReplicaReserve(cluster, open)
         val roomy = RoomyMachines(open, waiting, reserve)
         // While everything is full a round costs no more for much that waits than for little.
-        if (roomy.none && waiting.none { it.spec.shape != Shape.ARRAY || it.priority < Priority.NORMAL }) return 0
+        if (roomy.none && waiting.none { it.spec.shape != Shape.ARRAY || it.displacingPriority < Priority.NORMAL }) return 0
         var planned = 0
         val search = Search(open, number, reserve, nowMs)
         val settling = Settling(nowMs)
@@ -139,7 +139,7 @@
         val tasks = job.waiting(allowed).iterator()
         var planned = 0
         // A task that may displace others prefers room made where its image is to room where it would be fetched.
-        val phases = if (job.priority < Priority.NORMAL) URGENT_PHASES else PLAIN_PHASES
+        val phases = if (job.displacingPriority < Priority.NORMAL) URGENT_PHASES else PLAIN_PHASES
         for (phase in phases) {
             if (!tasks.hasNext()) break
             val limit = minOf(phase.worstImage, worst)
@@ -244,7 +244,7 @@
         }
         val chosen = best ?: return null
         val m = chosen.first().machine
-        chosen.forEach { cluster.stop(it, nowMs, "room for ${job.spec.id} of priority ${job.priority}") }
+        chosen.forEach { cluster.stop(it, nowMs, "room for ${job.spec.id} of priority ${job.displacingPriority}") }
         return m
     }
 
@@ -259,7 +259,7 @@
         // Room of tasks that are being stopped anyway is taken already by what displaced them.
         val candidates =
             m.attempts
-                .filter { it.job.priority > job.priority && it.state in DISPLACEABLE }
+                .filter { it.job.priority > job.displacingPriority && it.state in DISPLACEABLE }
                 .sortedByDescending { it.changedAtMs }
         val chosen = ArrayList<Attempt>()
         for (a in candidates) {
--- a/src/main/kotlin/mintfield/core/steps/StepGraph.kt
+++ b/src/main/kotlin/mintfield/core/steps/StepGraph.kt
@@ -76,6 +76,12 @@
     const val FITS = "fits"
     const val INTAKE = "intake"
 
+    /**
+     * The finish steps of the jobs that it depends on. Their outputs are those jobs' final states, which are recorded and never
+     * change; whether the job is ready is computed from them wherever it is needed.
+     */
+    const val PREDECESSORS = "predecessors"
+
     /** Reads what the machines hold. */
     const val FLEET = "fleet"
     const val PLAN = "plan"
@@ -97,6 +103,7 @@
                 Step(CATALOGUE, writes = false, feeds = listOf(FITS)),
                 Step(FITS, writes = false, feeds = listOf(PLAN, RENT)),
                 Step(INTAKE, writes = true, feeds = listOf(PLAN, RENT)),
+                Step(PREDECESSORS, writes = true, feeds = listOf(PLAN, RENT)),
                 Step(FLEET, writes = false, feeds = listOf(PLAN)),
                 Step(RENT, writes = true, feeds = listOf(FLEET)),
                 Step(PLAN, writes = true, feeds = listOf(START)),
--- a/src/main/kotlin/mintfield/io/store/Records.kt
+++ b/src/main/kotlin/mintfield/io/store/Records.kt
@@ -36,6 +36,9 @@
      */
     private const val DEPENDENT_SPEC = "dependent"
 
+    /** The field of the jobs that a job depends on, as [JobIdSet] writes them. */
+    private const val PREDECESSORS = "awaits"
+
     /** Stands for a name that was left out of a record. */
     private const val LEFT_OUT = "-"
 
@@ -44,7 +47,12 @@
     fun live(job: AcceptedJob): ByteArray =
         Json.obj {
             writeFieldName(if (job.spec.predecessors.isEmpty()) INDEPENDENT_SPEC else DEPENDENT_SPEC)
-            JobCodec.write(this, job.spec)
+            JobCodec.write(this, job.spec.copy(predecessors = emptyList()))
+            if (job.spec.predecessors.isNotEmpty()) {
+                writeObjectFieldStart(PREDECESSORS)
+                JobIdSet.encode(job.spec.predecessors).forEach { (group, numbers) -> writeStringField(group, numbers) }
+                writeEndObject()
+            }
             writeNumberField("at", job.acceptedAtMs)
             if (job.withdrawn) writeBooleanField("withdrawn", true)
             if (JobSteps.FITS in JobSteps.recorded) {
@@ -75,12 +83,16 @@
         mark: Long,
         fitsAnew: (AcceptedJob) -> List<String>,
     ): AcceptedJob? {
-        val spec = (JobCodec.parse(data[INDEPENDENT_SPEC] ?: data[DEPENDENT_SPEC]) as? JobCodec.Parsed.Valid)?.spec ?: return null
+        val described = (JobCodec.parse(data[INDEPENDENT_SPEC] ?: data[DEPENDENT_SPEC]) as? JobCodec.Parsed.Valid)?.spec ?: return null
+        val spec = if (INDEPENDENT_SPEC in data) described else described.copy(predecessors = parsePredecessors(data) ?: return null)
         val fits = data["fits"].asList()?.filterIsInstance<String>()
         val job = AcceptedJob(spec, mark, data.long("at") ?: 0, data.bool("withdrawn") ?: false, fits ?: emptyList())
         return if (fits == null) job.copy(fits = fitsAnew(job)) else job
     }
 
+    /** Null if they cannot be read: a job of which it is not known what it waits for must not start. */
+    private fun parsePredecessors(data: Map<String, Any?>): List<String>? = data[PREDECESSORS].asMap()?.let(JobIdSet::decode)
+
     fun final(state: FinalState): ByteArray =
         Json.obj {
             writeStringField("stage", state.stage.name.lowercase())
--- a/src/test/kotlin/mintfield/upgrade/UpgradeTest.kt
+++ b/src/test/kotlin/mintfield/upgrade/UpgradeTest.kt
@@ -64,6 +64,19 @@
         assertEquals(job, Records.parseLive(record, 5) { emptyList() })
     }
 
+    @Test
+    fun `hundreds of predecessors fit a value of the lower limits, whatever their ids look like`() {
+        val ids = (1..MANY).map { "wk-%06d".format((it * 7_919L) % 1_000_000) } + listOf("wk-1", "a-0123456789012345678901", "z-000000000000000001")
+        val job = Fixtures.accepted(Fixtures.spec("wk-000000").copy(predecessors = ids), 5, 1_234)
+        val record = Records.live(job)
+        assertTrue(record.size <= next.valueBytes, "${record.size} bytes")
+        val read = Records.parseLive(tree(record), 5) { emptyList() }!!
+        assertEquals(ids.toSet(), read.spec.predecessors.toSet())
+        assertEquals(ids.size, read.spec.predecessors.size)
+        val torn = tree(String(record).replace("\"wk-6\":\"", "\"wk-6\":\"?").toByteArray())
+        assertEquals(null, Records.parseLive(torn, 5) { emptyList() })
+    }
+
     @Test
     fun `a note of the earlier version says that its sender is one`() {
         val earlier = ProtoBuf.encodeToByteArray(PeerNote.serializer(), PeerNote("plot-1", true, false))
@@ -121,4 +134,9 @@
         val small = Fixtures.accepted(Fixtures.spec("wk-2"), 5)
         assertEquals(small.copy(withdrawn = true), Records.parseLive(tree(Records.withdrawn(small, next.valueBytes)), 5) { emptyList() })
     }
+
+    private companion object {
+        /** Predecessors that one value of the lower limits holds. */
+        const val MANY = 300
+    }
 }
