--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -89,7 +89,7 @@
     private fun addCancelledSuccessors(batch: Batch) {
         for (job in cluster.doomed) {
             if (batch.left < FINISH_COST && batch.writes.isNotEmpty()) return
-            if (job.withdrawn || job.finishing || job.unreadable || job.begun) continue
+            if (job.withdrawnInRecord || job.finishing || job.unreadable || job.begun) continue
             batch.add(Write.CancelSuccessor(job), FINISH_COST)
         }
     }
@@ -116,7 +116,7 @@
         val ended =
             cluster.jobs.values
                 .asSequence()
-                .filter { it.withdrawn && it.activeAttempts.isEmpty() && !it.finishing }
+                .filter { it.withdrawnInRecord && it.activeAttempts.isEmpty() && !it.finishing }
         batch.addAll(ended) { Write.Sweep(it) }
         if (batch.left > 0) hintBlocks.due(nowMs)?.let { batch.add(it) }
         ledger.leftOver.take(maxOf(0, batch.left - SWEEP_RESERVE)).forEach { batch.add(Write.SweepRound(it)) }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -155,6 +155,7 @@
         if (accepted.mark <= job.mark) return
         job.mark = accepted.mark
         job.finishing = false
+        job.withdrawnInRecord = accepted.withdrawn
         if (accepted.withdrawn && !job.withdrawn) withdraw(job, nowMs)
     }
 
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -113,8 +113,16 @@
 
     /** When it must be done for the jobs that depend on it to meet their deadlines, time of day in milliseconds. */
     var inheritedDueMs: Double? = null
+
+    /** Whether a user was told that it is withdrawn, as its record or a sibling says. */
     var withdrawn = accepted.withdrawn
 
+    /**
+     * Whether its record says so; only then has it a final state, and its record may go. A sibling may tell sooner, and of a job
+     * that is withdrawn with one that it depends on before anything of that is written.
+     */
+    var withdrawnInRecord = accepted.withdrawn
+
     /** Done tasks; to be changed by [setDone] only. */
     val done = BitSet(spec.tasks)
 
--- a/src/test/kotlin/mintfield/sim/SimWorld.kt
+++ b/src/test/kotlin/mintfield/sim/SimWorld.kt
@@ -224,6 +224,19 @@
         withdrawnAt[id] = now
         writes += 2
         tell(id)
+        // Users may be told at once, at any controller, that what depends on it is withdrawn too.
+        if (!faults.hideAborts) dependents(id).forEach { if (chance(TOLD_SHARE)) tellers.values.random(random).telling(it) }
+    }
+
+    /** The unfinished jobs that depend on [id], direct or through others. */
+    private fun dependents(id: String): Set<String> {
+        val found = LinkedHashSet<String>()
+        val queue = ArrayDeque(listOf(id))
+        while (queue.isNotEmpty()) {
+            val next = queue.removeFirst()
+            live.values.filter { next in it.spec.predecessors && found.add(it.spec.id) }.forEach { queue.addLast(it.spec.id) }
+        }
+        return found
     }
 
     /** The watch brings a job's change to whoever leads, a little later. */
@@ -481,6 +494,7 @@
                     tell(w.job.id)
                 }
                 is Write.Sweep -> {
+                    if (w.job.id !in finals) throw Broken("forgotten: ${w.job.id} is swept without a final state")
                     workers.values.firstOrNull { worker -> worker.present().any { it.job == w.job.id } }?.let {
                         throw Broken("swept: ${w.job.id} is still on ${it.id}")
                     }
@@ -693,6 +707,9 @@
         /** Milliseconds after which the watch has brought a change, at the latest. */
         private const val WATCH_LAG = 300L
 
+        /** Share of the jobs after a cancelled one whose users are told at once. */
+        private const val TOLD_SHARE = 0.7
+
         private val SIBLINGS = listOf("plot-1", "plot-2")
     }
 }
