--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -369,7 +369,7 @@
                 .flatMap { it.attempts }
                 .groupingBy { it.state }
                 .eachCount()
-        return "term ${cluster.term}: ${cluster.jobs.size} jobs, $doubted of them fail everywhere, $dependent wait for others, attempts $attempts, $waiting waiting, " +
-            "machines $by, ${fleet.lateCount(nowMs)} late, ${free.toInt()} CPUs free"
+        return "term ${cluster.term}: ${cluster.jobs.size} jobs, $doubted of them fail everywhere, $dependent wait for others, " +
+            "attempts $attempts, $waiting waiting, machines $by, ${fleet.lateCount(nowMs)} late, ${free.toInt()} CPUs free"
     }
 }
