--- a/src/main/kotlin/mintfield/app/Controller.kt
+++ b/src/main/kotlin/mintfield/app/Controller.kt
@@ -79,7 +79,7 @@
     private val progress = JobProgressView(elections, peerProgress, sharded = sharding != null)
     private val userWrites = UserWriteBatcher(loop, scope, services.store, services.stateLimits)
     private val versions = VersionRecords(settings, services.store, loop)
-    private val statuses = JobStatusService(services.store, replicator, progress::of, cancellations::append, health::isStoreUnreachable)
+    private val statuses = JobStatusService(services.store, replicator, progress::of, ::cancellationConfirmed, health::isStoreUnreachable)
     private val predecessors = PredecessorLookup(services.store, replicator)
     private val admission = JobAdmission(settings.teams) { services.types.values }
     private val submissions =
@@ -111,6 +111,10 @@
         return LeaderElection(loop, scope, services, replicator, cancellationWatermark, part) { statusSender.announce() }
     }
 
+    private fun cancellationConfirmed(id: String) {
+        if (cancellations.append(id)) Log.info("$id: cancellation confirmed to a user")
+    }
+
     /** The liveness of the peers, as input to the succession of shards. */
     private inner class ObservedPeers : PeerLiveness {
         override val names get() = settings.peers.map { it.member }
--- a/src/main/kotlin/mintfield/app/leader/Leader.kt
+++ b/src/main/kotlin/mintfield/app/leader/Leader.kt
@@ -147,7 +147,7 @@
             if (mayAct()) scheduler.tick(loop.nowMs())
             if (loop.nowMs() >= nextSummaryAtMs) {
                 nextSummaryAtMs = loop.nowMs() + PeerConstants.SUMMARY_INTERVAL_MS
-                Log.info(scheduler.summary(loop.nowMs()))
+                Log.info("${scheduler.summary(loop.nowMs())}, ${cancellationWatermark.describe(loop.nowMs())}")
             }
             delay(PlacementConstants.TICK_INTERVAL_MS)
         }
--- a/src/main/kotlin/mintfield/core/leadership/CancellationLog.kt
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationLog.kt
@@ -37,13 +37,15 @@
     /** Number of the oldest kept entry. */
     private var first = 0L
 
-    /** Appends job [id] unless it is already kept. Must be called before the cancellation is confirmed to the user. */
-    fun append(id: String) {
-        if (!kept.add(id)) return
+    /** Appends job [id]; false if it is already kept. Must be called before the cancellation is confirmed to the user. */
+    fun append(id: String): Boolean {
+        if (!kept.add(id)) return false
         entries.addLast(id)
-        if (entries.size <= size.kept) return
-        kept.remove(entries.removeFirst())
-        first++
+        if (entries.size > size.kept) {
+            kept.remove(entries.removeFirst())
+            first++
+        }
+        return true
     }
 
     /**
--- a/src/main/kotlin/mintfield/core/leadership/CancellationWatermark.kt
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationWatermark.kt
@@ -61,6 +61,14 @@
         return maxOf(storeReadToMs, peerLogs.values.minOf(::completeToMs))
     }
 
+    /** The watermark relative to [nowMs], for the leader's periodic log line. */
+    fun describe(nowMs: Long): String =
+        when (val upToMs = upToMs()) {
+            NEVER -> "no cancellations known yet"
+            ALWAYS -> "all cancellations known"
+            else -> "cancellations known up to ${nowMs - upToMs} ms ago"
+        }
+
     private fun completeToMs(log: PeerLog?): Long = if (log != null && log.firstContactMs <= storeReadToMs) log.completeToMs else NEVER
 
     /** The bounds of the time range. Differences between a bound and any clock time do not overflow. */
