--- a/src/main/kotlin/mintfield/app/Controller.kt
+++ b/src/main/kotlin/mintfield/app/Controller.kt
@@ -36,6 +36,7 @@
 import mintfield.core.constants.TimeUnits
 import mintfield.core.leadership.CancellationLog
 import mintfield.core.leadership.CancellationWatermark
+import mintfield.core.leadership.ConfirmedCancellations
 import mintfield.core.model.Settings
 import mintfield.core.model.compatibleMachineTypes
 import mintfield.core.ownership.PeerLiveness
@@ -61,7 +62,8 @@
     private val replicator =
         JobReplicator(services.store, scope, freshnessCheckIntervalMs, loop::nowMs) { compatibleMachineTypes(it.spec, services.types.values) }
     private val cancellationWatermark = CancellationWatermark(settings.peers.map { it.member })
-    private val cancellations = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
+    private val cancellationLog = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
+    private val cancellations = ConfirmedCancellations(cancellationLog, cancellationWatermark, ::notifyLeadersOfCancellation)
 
     private val health = PeerHealth(loop::nowMs)
     private val relay = PeerRelay(loop, settings, services, health)
@@ -92,9 +94,9 @@
     private val routes = ClientRoutes(loop, heartbeats, users, relay, readiness, services.metrics, ::isShortOfSockets)
     private val clientServer = HttpServer(loop, scope, group, limits.incoming, routes::receive)
 
-    private val status = ControllerStatus(loop, elections, progress, userWrites, sharding, cancellationWatermark)
+    private val status = ControllerStatus(loop, elections, progress, userWrites, sharding, cancellations)
     private val statusSender = PeerStatusSender(loop, scope, settings, relay, health, status)
-    private val peerRequests = PeerRequests(elections, routes, heartbeats, foreignTasks, sharding, versions, cancellations)
+    private val peerRequests = PeerRequests(elections, routes, heartbeats, foreignTasks, sharding, versions, cancellationLog)
     private val peerServer = PeerServer(health, peerProgress, peerRequests)
 
     private fun createElections(): List<LeaderElection> {
@@ -112,9 +114,11 @@
     }
 
     private fun cancellationConfirmed(id: String) {
-        if (cancellations.append(id)) Log.info("$id: cancellation confirmed to a user")
+        if (cancellations.confirmedHere(id)) Log.info("$id: cancellation confirmed to a user")
     }
 
+    private fun notifyLeadersOfCancellation(id: String) = elections.leaders.forEach { it.cancellationConfirmed(id) }
+
     /** The liveness of the peers, as input to the succession of shards. */
     private inner class ObservedPeers : PeerLiveness {
         override val names get() = settings.peers.map { it.member }
--- a/src/main/kotlin/mintfield/app/ControllerStatus.kt
+++ b/src/main/kotlin/mintfield/app/ControllerStatus.kt
@@ -6,18 +6,18 @@
 import mintfield.app.peer.LocalStatus
 import mintfield.app.sharding.ShardingContext
 import mintfield.core.leadership.CancellationPage
-import mintfield.core.leadership.CancellationWatermark
+import mintfield.core.leadership.ConfirmedCancellations
 import mintfield.core.ownership.ShardLoad
 import mintfield.io.loop.EventLoop
 
-/** Collects the status of this controller for its peers from its components, and applies the confirmed cancellations in their responses. */
+/** Collects the status of this controller for its peers from its components, and passes on the confirmed cancellations in their responses. */
 internal class ControllerStatus(
     private val loop: EventLoop,
     private val elections: LeaderElections,
     private val progress: JobProgressView,
     private val userWrites: UserWriteBatcher,
     private val sharding: ShardingContext?,
-    private val cancellationWatermark: CancellationWatermark,
+    private val cancellations: ConfirmedCancellations,
 ) : LocalStatus {
     override fun leadingTerms() = elections.terms()
 
@@ -33,14 +33,11 @@
         return load
     }
 
-    override fun cancellationsRead(peer: String) = cancellationWatermark.positionOf(peer)
+    override fun cancellationsRead(peer: String) = cancellations.watermark.positionOf(peer)
 
     override fun cancellationsReceived(
         peer: String,
         page: CancellationPage,
         sentAtMs: Long,
-    ) {
-        cancellationWatermark.pageReceived(peer, page, sentAtMs, loop.nowMs())
-        for (leader in elections.leaders) page.ids.forEach { leader.scheduler.cancellationConfirmedByPeer(it, loop.nowMs()) }
-    }
+    ) = cancellations.confirmedByPeer(peer, page, sentAtMs, loop.nowMs())
 }
--- a/src/main/kotlin/mintfield/core/JobLifecycle.kt
+++ b/src/main/kotlin/mintfield/core/JobLifecycle.kt
@@ -5,7 +5,7 @@
 import mintfield.core.jobs.PlanJournal
 import mintfield.core.model.AcceptedJob
 
-/** Applies job events from the store and from peers to the leader's state: accepted, ready, cancelled and removed jobs. */
+/** Applies job events from the store and from controllers to the leader's state: accepted, ready, cancelled and removed jobs. */
 internal class JobLifecycle(
     private val cluster: Cluster,
     private val dependencies: DependencyGraph,
@@ -73,8 +73,8 @@
         for (attempt in job.activeAttempts.toList()) cluster.release(attempt, nowMs, Cluster.SUPERSEDED)
     }
 
-    /** Cancels job [id], whose cancellation a peer has confirmed to the user. Its tasks stop even if this leader cannot read the job's record. */
-    fun cancellationConfirmedByPeer(
+    /** Cancels job [id], whose cancellation a controller confirms to the user. Its tasks stop even if this leader cannot read the job's record. */
+    fun cancellationConfirmed(
         id: String,
         nowMs: Long,
     ) {
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -78,11 +78,11 @@
         nowMs: Long,
     ) = jobs.removed(id, nowMs)
 
-    /** Cancels job [id], whose cancellation a peer has confirmed to the user. Its tasks stop even if this leader cannot read the job's record. */
-    fun cancellationConfirmedByPeer(
+    /** Cancels job [id], whose cancellation a controller confirms to the user. Its tasks stop even if this leader cannot read the job's record. */
+    fun cancellationConfirmed(
         id: String,
         nowMs: Long,
-    ) = jobs.cancellationConfirmedByPeer(id, nowMs)
+    ) = jobs.cancellationConfirmed(id, nowMs)
 
     // ---- workers ----
 
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -36,13 +36,13 @@
     var revision: Long = accepted.revision
         private set
 
-    /** Whether its cancellation was confirmed to the user, according to its record or to a peer. */
+    /** Whether its cancellation was confirmed to the user, according to its record or to the controller that confirmed it. */
     var cancelled = accepted.cancelled
         private set
 
     /**
-     * Whether its record states that it is cancelled; only then does it have a final state, and its record may be deleted. A peer may
-     * report a cancellation earlier, also that of a job that is cancelled because a predecessor was.
+     * Whether its record states that it is cancelled; only then does it have a final state, and its record may be deleted. A controller
+     * may confirm a cancellation earlier, also that of a job that is cancelled because a predecessor was.
      */
     var cancellationRecorded = accepted.cancelled
         private set
--- a/src/main/kotlin/mintfield/core/leadership/CancellationWatermark.kt
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationWatermark.kt
@@ -4,7 +4,7 @@
  * The time up to which a controller knows every cancellation confirmed to any user: a low watermark over the store and all peers.
  *
  * A successful read of the store shows all cancellations up to the time at which the read was sent. Later cancellations are known only
- * from the peers. Only controllers confirm cancellations to users, so none is missing once each configured peer, still the same process
+ * from the controllers that confirm them: those of this process at once (see [ConfirmedCancellations]), the others from the peers. Only controllers confirm cancellations to users, so none is missing once each configured peer, still the same process
  * as at the time of that read, has delivered its complete [CancellationLog]. A peer that is unresponsive, partitioned or newly started
  * does not advance the watermark.
  *
--- a/src/test/kotlin/mintfield/sim/CombinedFaultsTest.kt
+++ b/src/test/kotlin/mintfield/sim/CombinedFaultsTest.kt
@@ -78,6 +78,20 @@
         assertDetected(scenario, InjectedDefects(assumeWatermarkComplete = true), "ran_cancelled")
     }
 
+    @Test
+    fun `jobs cancelled through any controller, the leader's own among them, stop in time when a store outage begins at once`() {
+        // Guards against ran_cancelled: a cancellation that the leader's own controller confirms reaches no log that the leader reads.
+        val scenario =
+            Scenario(extraRunTimeMs = 90_000, durationMs = 500_000) {
+                at(15_000) {
+                    for (i in 1..5) cancelNow("wk-$i")
+                    storeOutage(53_000)
+                }
+            }
+        assertRulesHold(scenario)
+        assertDetected(scenario, InjectedDefects(hideOwnConfirmations = true), "ran_cancelled")
+    }
+
     @Test
     fun `no task runs twice when leaders crash while transactions are applied late and new machines join`() {
         val scenario =
--- a/src/test/kotlin/mintfield/sim/SimulatedLeaders.kt
+++ b/src/test/kotlin/mintfield/sim/SimulatedLeaders.kt
@@ -16,6 +16,9 @@
     /** All active leaders; the holder of the leader key is last. */
     fun all(): List<SimulatedLeader> = deposed + listOfNotNull(current)
 
+    /** The active leaders of the controller [name], oldest first. */
+    fun at(name: String): List<SimulatedLeader> = all().filter { it.controller == name }
+
     /** Whether [leader] is the holder of the leader key or has not noticed that it was deposed. */
     fun isActive(leader: SimulatedLeader): Boolean = leader === current || leader in deposed
 
