--- a/src/test/kotlin/mintfield/loopback/CancellationBeforeOutageTest.kt
+++ b/src/test/kotlin/mintfield/loopback/CancellationBeforeOutageTest.kt
@@ -62,6 +62,20 @@
         assertCancellationStopsTheTask(leader)
     }
 
+    @Test
+    fun `a leader stops the tasks of a job whose cancellation its own controller confirmed during its replay, just before a store outage`() {
+        // Guards against ran_cancelled: the replay cannot go on in the outage, and leases are renewed meanwhile.
+        val earlier = cluster.startController("plot-0")
+        startService(earlier)
+        val leader = cluster.startController("plot-1")
+        val readOfRounds = cluster.faults.hold(leader.member) { it.path.startsWith("/store?starts=mf/p/") }
+        earlier.stop()
+        cluster.services.controllers = listOf(leader.address)
+        readOfRounds.awaitApplied()
+        beginOutageAfterNextCancellation()
+        assertCancellationStopsTheTask(leader)
+    }
+
     private companion object {
         const val JOB = "wk-000401"
         const val LONGER_THAN_A_TEST_MS = 300_000L
