--- a/src/main/kotlin/mintfield/core/leadership/CancellationWatermark.kt
+++ b/src/main/kotlin/mintfield/core/leadership/CancellationWatermark.kt
@@ -4,9 +4,10 @@
  * The time up to which a controller knows every cancellation confirmed to any user: a low watermark over the store and all peers.
  *
  * A successful read of the store shows all cancellations up to the time at which the read was sent. Later cancellations are known only
- * from the controllers that confirm them: those of this process at once (see [ConfirmedCancellations]), the others from the peers. Only controllers confirm cancellations to users, so none is missing once each configured peer, still the same process
- * as at the time of that read, has delivered its complete [CancellationLog]. A peer that is unresponsive, partitioned or newly started
- * does not advance the watermark.
+ * from the controllers that confirm them: from this process at once (see [ConfirmedCancellations]), from the others by their logs. Only
+ * controllers confirm cancellations to users, so none is missing once each configured peer, still the same process as at the time of that
+ * read, has delivered its complete [CancellationLog]. A peer that is unresponsive, partitioned or newly started does not advance the
+ * watermark.
  *
  * All times are in milliseconds of this controller's monotonic clock. A peer's response counts from the time of the request, because the
  * response may have been delayed in the network.
