--- a/src/main/kotlin/mintfield/app/leader/CloudCallExecutor.kt
+++ b/src/main/kotlin/mintfield/app/leader/CloudCallExecutor.kt
@@ -36,8 +36,8 @@
         when (call) {
             is CloudCall.Provision -> provision(call)
             is CloudCall.Release -> handleResult(call, cloud.release(call.machines)) { fleet.released(call.machines, loop.nowMs()) }
-            is CloudCall.ListPage -> handleResult(call, cloud.list(call.after)) { fleet.listed(it.machines, it.hasNext, loop.nowMs()) }
-            CloudCall.Types -> handleResult(call, cloud.types()) { fleet.typesRead(it, loop.nowMs()) }
+            is CloudCall.ListPage -> handleResult(call, cloud.list(call.after)) { fleet.machinesListed(it.machines, it.hasNext, loop.nowMs()) }
+            CloudCall.Types -> handleResult(call, cloud.types()) { fleet.machineTypesRead(it, loop.nowMs()) }
         }
     }
 
--- a/src/main/kotlin/mintfield/app/leader/Replay.kt
+++ b/src/main/kotlin/mintfield/app/leader/Replay.kt
@@ -82,7 +82,7 @@
             services.readTypes()
             if (services.types.isEmpty()) delay(FleetConstants.CLOUD_RETRY_MS)
         }
-        scheduler.types(services.types.values.toList(), loop.nowMs())
+        scheduler.fleet.machineTypesRead(services.types.values.toList(), loop.nowMs())
     }
 
     /**
@@ -125,7 +125,7 @@
         var after: String? = null
         do {
             val page = (services.cloud.list(after) as? CloudResult.Ok)?.value ?: return
-            scheduler.listed(page.machines, page.hasNext, loop.nowMs())
+            scheduler.fleet.machinesListed(page.machines, page.hasNext, loop.nowMs())
             after = page.machines.lastOrNull()?.id
         } while (page.hasNext && after != null)
     }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -4,7 +4,6 @@
 import mintfield.core.dependencies.DependencyGraph
 import mintfield.core.dependencies.InheritedUrgency
 import mintfield.core.fleet.FleetManager
-import mintfield.core.fleet.ListedMachine
 import mintfield.core.fleet.ZoneFencing
 import mintfield.core.jobs.CommandPlanner
 import mintfield.core.jobs.DirectCallPlanner
@@ -12,7 +11,6 @@
 import mintfield.core.jobs.PlanJournal
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.Heartbeat
-import mintfield.core.model.MachineType
 import mintfield.core.model.Settings
 import mintfield.core.model.StateLimitsInForce
 import mintfield.core.ownership.Ownership
@@ -157,19 +155,6 @@
 
     // ---- the cloud ----
 
-    /** Replaces the machine types by [types], as read from the cloud. */
-    fun types(
-        types: List<MachineType>,
-        nowMs: Long,
-    ) = fleet.typesRead(types, nowMs)
-
-    /** Processes one [page] of the cloud's list. [hasNext] is false for the last page. */
-    fun listed(
-        page: List<ListedMachine>,
-        hasNext: Boolean,
-        nowMs: Long,
-    ) = fleet.listed(page, hasNext, nowMs)
-
     /** Returns the next request to the cloud, or null if there is none. */
     fun cloudCall(nowMs: Long): CloudCall? = if (isReplayComplete) fleet.nextCall(nowMs) else null
 
--- a/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
+++ b/src/main/kotlin/mintfield/core/fleet/FleetManager.kt
@@ -47,7 +47,7 @@
     var onProvisioned: (ScaleOutIntent, List<String>) -> Boolean = { _, _ -> true }
 
     /** Replaces or adds the machine [types] that were read from the cloud's catalogue. */
-    fun typesRead(
+    fun machineTypesRead(
         types: List<MachineType>,
         nowMs: Long,
     ) {
@@ -80,7 +80,7 @@
     }
 
     /** Processes [page] of the cloud's list; [hasNext] is false for the last page. */
-    fun listed(
+    fun machinesListed(
         page: List<ListedMachine>,
         hasNext: Boolean,
         nowMs: Long,
