--- a/src/main/kotlin/mintfield/app/Controller.kt
+++ b/src/main/kotlin/mintfield/app/Controller.kt
@@ -117,6 +117,11 @@
         if (cancellations.confirmedHere(id)) Log.info("$id: cancellation confirmed to a user")
     }
 
+    private fun jobRecordsRead(sentAtMs: Long) {
+        cancellationWatermark.storeReadCompleted(sentAtMs)
+        elections.leaders.forEach { it.scheduler.jobRecordsRead(sentAtMs) }
+    }
+
     private fun notifyLeadersOfCancellation(id: String) = elections.leaders.forEach { it.cancellationConfirmed(id) }
 
     /** The liveness of the peers, as input to the succession of shards. */
@@ -141,7 +146,7 @@
     private fun start() {
         launch("peer port") { HttpServer(loop, scope, group, limits.peerConnections, peerServer::receive).startWhenFree(address(settings.internalAddress)) }
         services.store.onContact = health::storeContact
-        replicator.onComplete = cancellationWatermark::storeReadCompleted
+        replicator.onComplete = ::jobRecordsRead
         userWrites.onCongestion = elections::yieldToUsers
         sharding?.let { context -> launch("assignments") { context.assignments.follow() } }
         elections.all.forEach { election -> launch("election ${election.shard?.name.orEmpty()}".trim()) { election.run() } }
--- a/src/main/kotlin/mintfield/core/JobLifecycle.kt
+++ b/src/main/kotlin/mintfield/core/JobLifecycle.kt
@@ -35,6 +35,7 @@
     ) {
         cluster.jobs[job.id] = job
         job.firstSeenAtMs = nowMs
+        if (cancellations.isKnown(job.id)) job.cancel()
         when {
             job.ready -> {}
             dependencies.isCancelledByDependency(job.id) -> cluster.cancelledByDependency.add(job)
@@ -78,10 +79,16 @@
         id: String,
         nowMs: Long,
     ) {
-        if (!replay.isComplete) cancellations.confirmedBeforeReplay(id)
+        cancellations.confirmed(id, nowMs)
         cluster.jobs[id]?.takeIf { !it.cancelled }?.let { cancel(it, nowMs) }
     }
 
+    /** Handles the end of a read of all changes of job records, which was sent at [sentAtMs] and whose changes were passed on. */
+    fun recordsRead(sentAtMs: Long) {
+        // Before the end of the replay the changes are not passed on to this leader.
+        if (replay.isComplete) cancellations.recordsRead(sentAtMs)
+    }
+
     private fun cancel(
         job: Job,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/core/LeaderReplay.kt
+++ b/src/main/kotlin/mintfield/core/LeaderReplay.kt
@@ -18,7 +18,6 @@
     private val zoneFencing: ZoneFencing,
     private val planJournal: PlanJournal,
     private val failureAttribution: FailureAttribution,
-    private val cancellations: KnownCancellations,
 ) {
     /** Whether the replay has ended. Before that, responses to heartbeats start no tasks. */
     var isComplete = false
@@ -70,7 +69,6 @@
         for (job in cluster.jobs.values) {
             job.unwritten.clear()
         }
-        cancellations.applyToReplayedJobs()
         for (job in cluster.jobs.values) if (job.cancelled) cluster.stopAll(job, nowMs)
     }
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -43,7 +43,7 @@
     private val planJournal = PlanJournal(cluster, fleet)
 
     /** Restores the state from the records of earlier leaders. */
-    val replay = LeaderReplay(cluster, fleet, zoneFencing, planJournal, reconciler.failureAttribution, cancellations)
+    val replay = LeaderReplay(cluster, fleet, zoneFencing, planJournal, reconciler.failureAttribution)
     private val jobs = JobLifecycle(cluster, dependencies, planJournal, cancellations, replay, log)
     internal val heartbeats = HeartbeatService(cluster, fleet, zoneFencing, reconciler, commandPlanner, cancellations, replay)
     private val directCallPlanner = DirectCallPlanner(cluster, reconciler, commandPlanner, log)
@@ -82,6 +82,9 @@
         nowMs: Long,
     ) = jobs.cancellationConfirmed(id, nowMs)
 
+    /** Records that a read of all changes of jobs, sent at [sentAtMs], is complete and that its changes were passed to this scheduler. */
+    fun jobRecordsRead(sentAtMs: Long) = jobs.recordsRead(sentAtMs)
+
     // ---- workers ----
 
     /**
--- a/src/test/kotlin/mintfield/core/ownership/HandoverTest.kt
+++ b/src/test/kotlin/mintfield/core/ownership/HandoverTest.kt
@@ -203,6 +203,18 @@
         assertEquals(2, commands(b.heartbeat(5, 0, *running)).filterIsInstance<WorkerCommand.Stop>().size)
     }
 
+    @Test
+    fun `the new owner stops the tasks of a job whose cancellation was confirmed to a user, also past its lease and unread in the store`() {
+        // Guards against ran_cancelled in a store outage: the leader of the job requests no stop past its lease, and the owner renews the machine's lease.
+        val a = running()
+        val running = tasks(a, TaskState.RUNNING)
+        val b = moved(a)
+        b.scheduler.cancellationConfirmed("wk-1", now)
+        val pastLease = b.scheduler.heartbeat(Fixtures.heartbeat(machine, 5, 0, *running), mayAct = false, now)
+        assertEquals(2, commands(pastLease).filterIsInstance<WorkerCommand.Stop>().size)
+        assertEquals(2, commands(b.heartbeat(6, 0, *running)).filterIsInstance<WorkerCommand.Stop>().size)
+    }
+
     @Test
     fun `a new incarnation releases the attempts of the previous incarnation`() {
         val a = running()
--- a/src/test/kotlin/mintfield/sim/LeaderLoop.kt
+++ b/src/test/kotlin/mintfield/sim/LeaderLoop.kt
@@ -59,6 +59,7 @@
         if (store.serves(leader)) {
             leader.renewedAtMs = context.nowMs
             leader.cancellations.watermark.storeReadCompleted(context.nowMs - SimulatedWatch.LAG_MS)
+            leader.scheduler.jobRecordsRead(context.nowMs - SimulatedWatch.LAG_MS)
         }
         controllers.exchange(leader)
         context.after(RENEWAL_MS) { renew(leader) }
