--- a/src/main/kotlin/mintfield/app/leader/CommitLoop.kt
+++ b/src/main/kotlin/mintfield/app/leader/CommitLoop.kt
@@ -62,7 +62,7 @@
         val sentAtMs = loop.nowMs()
         val result = commitResult(store.txn(transaction.preconditions, transaction.keyWrites, urgent = true), transaction)
         services.metrics.recordCommit(loop.nowMs() - sentAtMs)
-        scheduler.committed(Commit(commit.term, transaction.writes), result, loop.nowMs())
+        scheduler.committed(commit.first(transaction.writes.size), result, loop.nowMs())
         if (result is CommitResult.Done) transaction.writes.forEach(::reportJobEnd)
     }
 
--- a/src/main/kotlin/mintfield/core/Commit.kt
+++ b/src/main/kotlin/mintfield/core/Commit.kt
@@ -1,12 +1,20 @@
 package mintfield.core
 
 /** A transaction on the store: all [writes] or none, with the precondition that the leader key is at revision [term]. */
-class Commit(
+class Commit private constructor(
     val term: Long,
     val writes: List<Write>,
+    /** Preconditions: revision by id of each guarded job, taken when the commit was planned and unaffected by later changes. */
+    val guardRevisions: Map<String, Long>,
 ) {
-    /** Preconditions: revision by id of each guarded job, taken when the commit was created and unaffected by later changes. */
-    val guardRevisions: Map<String, Long> = writes.flatMap { it.guardedJobs }.associate { it.id to it.revision }
+    /** Plans a commit of [writes]. */
+    constructor(
+        term: Long,
+        writes: List<Write>,
+    ) : this(term, writes, writes.flatMap { it.guardedJobs }.associate { it.id to it.revision })
+
+    /** The part of this commit with its first [count] writes only, and with the same revisions. */
+    fun first(count: Int) = Commit(term, writes.take(count), guardRevisions)
 }
 
 /** The outcome of a [Commit]. */
--- a/src/test/kotlin/mintfield/loopback/CancellationBeforeOutageTest.kt
+++ b/src/test/kotlin/mintfield/loopback/CancellationBeforeOutageTest.kt
@@ -54,7 +54,7 @@
 
     @Test
     fun `a leader stops the tasks of a job whose cancellation its own controller confirmed just before a store outage`() {
-        // Guards against ran_cancelled: the leader went on renewing the lease, since it learned of such a cancellation only from the store.
+        // Guards against ran_cancelled: the leader renewed the lease throughout, since it learned of such a cancellation only from the store.
         val leader = cluster.startController("plot-0")
         startService(leader)
         beginOutageAfterNextCancellation()
--- a/src/test/kotlin/mintfield/loopback/ServiceEndToEndTest.kt
+++ b/src/test/kotlin/mintfield/loopback/ServiceEndToEndTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** Behaviour of jobs from submission to their final state as users observe it, on real controllers over loopback. */
 class ServiceEndToEndTest {
@@ -63,6 +64,25 @@
         assertEquals("withdrawn", phaseOf(a, "wk-000002"))
     }
 
+    @Test
+    fun `the record of a job that is cancelled while its plan is being written is deleted`() {
+        // Guards against records that stay until the next leader: the plan conflicts with a cancellation that the leader has read already.
+        val a = startController("plot-0")
+        val delayed = AtomicBoolean()
+        val deleted = AtomicBoolean()
+        services.store.onChange = { key, data, _ -> if (key == "mf/j/l/wk-000009" && data == null) deleted.set(true) }
+        cluster.faults.chooseFault = { _, request ->
+            val isPlan = request.path == "/txn" && "\"write\":\"mf/p/" in String(request.body)
+            if (isPlan && delayed.compareAndSet(false, true)) StoreFault.AppliedLate(CANCELLATION_READ_MS) else null
+        }
+        assertEquals(201, ask(a, "POST", "/v1/jobs", TestJobs.json("wk-000009", 2, shape = "standing"))!!.status)
+        await("the plan is on its way") { delayed.get() }
+        assertEquals("withdrawn", ask(a, "POST", "/v1/jobs/wk-000009/abort")!!.json.string("stage"))
+        await("its record is deleted") { deleted.get() }
+        assertEquals("withdrawn", phaseOf(a, "wk-000009"))
+        assertTrue(services.workers.all { it.started.isEmpty() })
+    }
+
     @Test
     fun `a new leader finishes a job without starting a task again`() {
         val a = startController("plot-0")
@@ -175,4 +195,9 @@
         await("plot-0 is ready again") { ask(a, "GET", "/ready")?.status == 200 }
         await("wk-000008 is accepted") { ask(a, "POST", "/v1/jobs", TestJobs.json("wk-000008", 1))!!.status in 200..201 }
     }
+
+    private companion object {
+        /** Longer than a leader needs to read a cancellation, and shorter than it waits for the response to a transaction. */
+        const val CANCELLATION_READ_MS = 800L
+    }
 }
