--- a/src/main/kotlin/mintfield/app/leader/Replay.kt
+++ b/src/main/kotlin/mintfield/app/leader/Replay.kt
@@ -74,7 +74,7 @@
             val key = entry.key.removePrefix(keys.zoneFences)
             ZoneFenceCodec.decode(key, entry.data).valueOrNull?.let { fencing.replay(it) } ?: fencing.replayUnreadable(key)
         }
-        fencing.hasReadRecords = true
+        fencing.recordsRead()
     }
 
     private suspend fun readTypes() {
--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -48,17 +48,46 @@
     /** Jobs to be cancelled because a predecessor was cancelled. */
     val cancelledByDependency = LinkedHashSet<Job>()
 
-    /** Set when a job has become ready, to run a scheduling round before the next one is due. */
+    /** Whether a scheduling round is to run before the next one is due. */
     var roundRequested = false
+        private set
 
     /** Time at which this leader's replay ended, on the monotonic clock. */
     var replayedAtMs = 0L
+        private set
 
     /** Time before which no scheduling round places tasks, because a round record could not be read. */
     var planningSuspendedUntilMs = 0L
+        private set
 
-    /** Set when an operation depends on workers having seen a higher term than the current one. */
+    /** Whether an operation depends on workers having seen a higher term than the current one. */
     var termRaiseRequested = false
+        private set
+
+    /** Sets [roundRequested], as a job has become ready. */
+    fun requestRound() {
+        roundRequested = true
+    }
+
+    /** Clears [roundRequested], as a scheduling round begins. */
+    fun roundBegun() {
+        roundRequested = false
+    }
+
+    /** Sets [replayedAtMs]. */
+    fun replayCompleted(nowMs: Long) {
+        replayedAtMs = nowMs
+    }
+
+    /** Sets [planningSuspendedUntilMs]. */
+    fun suspendPlanning(untilMs: Long) {
+        planningSuspendedUntilMs = untilMs
+    }
+
+    /** Sets [termRaiseRequested]. */
+    fun requestTermRaise() {
+        termRaiseRequested = true
+    }
 
     /** Adopts [newTerm], the revision at which the leader key was rewritten, and clears [termRaiseRequested]. */
     fun termRaised(newTerm: Long) {
--- a/src/main/kotlin/mintfield/core/JobLifecycle.kt
+++ b/src/main/kotlin/mintfield/core/JobLifecycle.kt
@@ -51,7 +51,7 @@
         val job = cluster.jobs[id] ?: return
         job.becomeReady(dependencies.readySinceMs(id))
         job.firstSeenAtMs = nowMs
-        cluster.roundRequested = true
+        cluster.requestRound()
         log("$id: ready, all its predecessors are done")
     }
 
--- a/src/main/kotlin/mintfield/core/LeaderReplay.kt
+++ b/src/main/kotlin/mintfield/core/LeaderReplay.kt
@@ -42,7 +42,7 @@
      * planning is suspended until their workers must have sent a heartbeat or lost their leases.
      */
     fun unreadableRound(nowMs: Long) {
-        cluster.planningSuspendedUntilMs = nowMs + cluster.timings.leaseExpiryMs + FleetConstants.UNRESPONSIVE_RELEASE_SLACK_MS
+        cluster.suspendPlanning(untilMs = nowMs + cluster.timings.leaseExpiryMs + FleetConstants.UNRESPONSIVE_RELEASE_SLACK_MS)
     }
 
     /** Handles a round record whose part on job [jobId] cannot be read: the job keeps its running tasks and gets no new ones. */
@@ -63,8 +63,8 @@
     /** Ends the replay. From now on the leader plans and sends commands. */
     fun complete(nowMs: Long) {
         isComplete = true
-        zoneFencing.hasReadRecords = true
-        cluster.replayedAtMs = nowMs
+        zoneFencing.recordsRead()
+        cluster.replayCompleted(nowMs)
         // The replayed state is already in the store.
         for (job in cluster.jobs.values) {
             job.unwritten.clear()
--- a/src/main/kotlin/mintfield/core/RoundTrigger.kt
+++ b/src/main/kotlin/mintfield/core/RoundTrigger.kt
@@ -29,7 +29,7 @@
         if (cluster.roundRequested || nowMs - lastRoundMs >= intervalMs) {
             lastRoundMs = nowMs
             lastReplicaRoundMs = nowMs
-            cluster.roundRequested = false
+            cluster.roundBegun()
             inheritedUrgency.refresh(nowMs, wallMs)
             failureAttribution.checkUnprovenJobs(nowMs)
             round.run(nowMs, wallMs, maxTasks)
--- a/src/main/kotlin/mintfield/core/fleet/ZoneFencing.kt
+++ b/src/main/kotlin/mintfield/core/fleet/ZoneFencing.kt
@@ -27,7 +27,7 @@
     private var lastNumber = 0
 
     /** Whether the records of earlier leaders have been read; no machine gets a response before. */
-    var hasReadRecords = false
+    private var hasReadRecords = false
 
     /** Records to be written, without those also due for deletion, as a transaction must not contain a key twice. */
     val fencesToWrite: Collection<ZoneFence> get() = toWrite.values.filter { it.key !in toDelete }
@@ -41,6 +41,11 @@
         record.machines.forEach { fenceByMachine[it] = record.key }
     }
 
+    /** The records of earlier leaders have all been passed to this class. From now on machines may get responses. */
+    fun recordsRead() {
+        hasReadRecords = true
+    }
+
     /** Schedules the deletion of the record under [key], which cannot be decoded and so proves nothing. */
     fun replayUnreadable(key: String) {
         toDelete.add(key)
--- a/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
@@ -107,7 +107,7 @@
                 if (provesAbsence) {
                     commands.add(WorkerCommand.Acknowledge(status.task, status.attempt))
                 } else if (machine.lease.unacknowledgedTerm >= cluster.token(machine)) {
-                    cluster.termRaiseRequested = true
+                    cluster.requestTermRaise()
                 }
             }
         }
--- a/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
@@ -263,7 +263,7 @@
         if (provesAbsence) {
             cluster.release(attempt, nowMs, proof)
         } else if (attempt.machine.lease.unacknowledgedTerm >= cluster.token(attempt.machine)) {
-            cluster.termRaiseRequested = true
+            cluster.requestTermRaise()
         }
     }
 
