--- a/src/main/kotlin/mintfield/app/Controller.kt
+++ b/src/main/kotlin/mintfield/app/Controller.kt
@@ -122,7 +122,7 @@
         elections.leaders.forEach { it.scheduler.jobRecordsRead(sentAtMs) }
     }
 
-    private fun notifyLeadersOfCancellation(id: String) = elections.leaders.forEach { it.cancellationConfirmed(id) }
+    private fun notifyLeadersOfCancellation(id: String) = elections.leaders.forEach { it.scheduler.cancellationConfirmed(id, loop.nowMs()) }
 
     /** The liveness of the peers, as input to the succession of shards. */
     private inner class ObservedPeers : PeerLiveness {
--- a/src/main/kotlin/mintfield/app/leader/Leader.kt
+++ b/src/main/kotlin/mintfield/app/leader/Leader.kt
@@ -95,12 +95,6 @@
     /** Lowers the rate of this leader's writes for [StoreConstants.LEADER_YIELD_MS], as users' writes wait for the store. */
     fun yieldToUsers() = pacer.yieldToUsers()
 
-    /** Handles the confirmation of the cancellation of job [id] to a user, by this process or a peer. */
-    fun cancellationConfirmed(id: String) {
-        scheduler.cancellationConfirmed(id, loop.nowMs())
-        wake()
-    }
-
     /** Signals that there may be something to commit. */
     fun wake() = commits.wake()
 
--- a/src/main/kotlin/mintfield/core/leadership/ConfirmedCancellations.kt
+++ b/src/main/kotlin/mintfield/core/leadership/ConfirmedCancellations.kt
@@ -1,28 +1,27 @@
 package mintfield.core.leadership
 
 /**
- * Passes the cancellations that controllers confirm to users on to everyone that must know of them: those that this process confirms to
- * its leaders at once and to its peers by [log], those that peers confirm to its leaders.
+ * Passes on the cancellations that controllers confirm to users: those that this process confirms to its leaders and, by [log], to its
+ * peers, those that peers confirm to its leaders.
  *
- * [watermark] is a promise to the leaders in this process that they know every cancellation confirmed before it, so a cancellation
- * must reach them before it is confirmed, or before the watermark passes it. Not thread-safe.
+ * The [watermark] promises the leaders in this process that they know every cancellation confirmed before it. So one that this process
+ * confirms must reach them before it reaches the user, and one that a peer confirms before the watermark passes it. Not thread-safe.
  */
 class ConfirmedCancellations(
     /** The cancellations that this process has confirmed, for its peers to read. */
     val log: CancellationLog,
     /** The time up to which the leaders in this process know all cancellations. */
     val watermark: CancellationWatermark,
-    /** Notifies the leaders in this process that the cancellation of the job with this id is or is about to be confirmed. */
+    /** Notifies the leaders in this process that the cancellation of the job with this id has been or is about to be confirmed. */
     private val notifyLeaders: (String) -> Unit,
 ) {
     /**
-     * Handles a cancellation of job [id] that this process is about to confirm to a user. Returns false if it has done so recently. A leader
-     * elected since then has read the cancellation from the store.
+     * Handles a cancellation of job [id] that this process is about to confirm to a user, perhaps once more. Returns false if the log holds
+     * it already.
      */
     fun confirmedHere(id: String): Boolean {
-        if (!log.append(id)) return false
         notifyLeaders(id)
-        return true
+        return log.append(id)
     }
 
     /** Handles [page] of the log of [peer], requested at [requestedAtMs] and received at [nowMs], in milliseconds of monotonic time. */
