--- a/src/main/kotlin/mintfield/app/leader/CommitLoop.kt
+++ b/src/main/kotlin/mintfield/app/leader/CommitLoop.kt
@@ -63,7 +63,21 @@
         val result = commitResult(store.txn(transaction.preconditions, transaction.keyWrites, urgent = true), transaction)
         services.metrics.recordCommit(loop.nowMs() - sentAtMs)
         scheduler.committed(commit.first(transaction.writes.size), result, loop.nowMs())
-        if (result is CommitResult.Done) transaction.writes.forEach(::reportJobEnd)
+        if (result !is CommitResult.Done) return
+        transaction.writes.forEach(::reportJobEnd)
+        transaction.writes.forEach { logRound(it, result.revision) }
+    }
+
+    /** Logs which rounds are in the store, so that what a later leader replays can be told from the log. */
+    private fun logRound(
+        write: Write,
+        revision: Long,
+    ) {
+        when (write) {
+            is Write.RecordRound -> Log.info("round ${write.key} of revision $revision written: ${write.record.summary}")
+            is Write.DeleteRound -> Log.info("round ${write.key} deleted")
+            else -> {}
+        }
     }
 
     private fun reportJobEnd(write: Write) {
--- a/src/main/kotlin/mintfield/app/leader/Replay.kt
+++ b/src/main/kotlin/mintfield/app/leader/Replay.kt
@@ -62,6 +62,17 @@
             "replayed ${scheduler.cluster.jobs.size} jobs, ${records.rounds.size} rounds, ${records.intents.size} intents, " +
                 "${scheduler.cluster.machines.size} machines in ${loop.nowMs() - startedAtMs} ms",
         )
+        logExceededQuotas()
+    }
+
+    /** Logs the teams that the replayed plans bring above their limits. Plans are made within the limits, so none should be. */
+    private fun logExceededQuotas() {
+        for ((team, used) in scheduler.cluster.quotas.exceeded()) {
+            Log.error(
+                "team ${team.name}: replayed plans exceed its limit: ${used.cpus} of ${team.cpusMax} CPUs, " +
+                    "${used.gpus} of ${team.gpusMax} GPUs (0: no limit)",
+            )
+        }
     }
 
     private suspend fun readJobs() {
@@ -157,6 +168,8 @@
                 Log.error("${entry.key}: cannot decode round of revision ${entry.revision} for ${job ?: "an unknown job"}; record kept, rest replayed")
                 if (job == null) scheduler.replay.unreadableRound(nowMs) else scheduler.replay.unreadableJob(job)
             }
-        scheduler.replay.round(entry.key.removePrefix(keys.rounds), record, entry.revision, nowMs, keep)
+        val number = entry.key.removePrefix(keys.rounds)
+        Log.info("round $number of revision ${entry.revision} replayed: ${record.summary}")
+        scheduler.replay.round(number, record, entry.revision, nowMs, keep)
     }
 }
--- a/src/main/kotlin/mintfield/core/TeamQuotas.kt
+++ b/src/main/kotlin/mintfield/core/TeamQuotas.kt
@@ -46,6 +46,15 @@
         return allowed
     }
 
+    /** The teams whose tasks occupy more than their limits, each with its usage. */
+    fun exceeded(): Map<Team, Usage> =
+        teams.values.associateWith { usage(it.name) }.filter { (team, used) -> isAbove(used.cpus, team.cpusMax) || isAbove(used.gpus, team.gpusMax) }
+
+    private fun isAbove(
+        used: Double,
+        limit: Double,
+    ): Boolean = limit > 0 && used > limit + ROUNDING_TOLERANCE
+
     private fun tasksThatFit(
         free: Double,
         each: Double,
