--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -10,8 +10,9 @@
  * Journal of plans and results in the store, a sequence of round records. Replays the records after a failover, selects the tasks that
  * the next record must cover, and finds obsolete records.
  *
- * A record is needed as long as it covers a chunk of an unfinished job that no later record covers completely. The chunks for which an
- * old record is needed are written again with later records, until it is obsolete.
+ * The records that are left in the store lead a replay to the same state as all records ever written. So a record is needed as long as it
+ * covers a chunk of an unfinished job that no later record covers completely, that is, with every task that any record has stated. The
+ * chunks for which an old record is needed are written again with later records, until it is obsolete.
  *
  * Not thread-safe, like [Cluster].
  */
@@ -48,7 +49,7 @@
             part.released.forEach { index -> replaceAttempt(job, index, nowMs) }
             part.plans.forEach { replayPlan(job, it, nowMs) }
             part.done.forEach { replayDone(job, it, nowMs) }
-            cover(round, job, part.chunk)
+            cover(round, job, part)
         }
         if (!keep) track(round)
     }
@@ -186,7 +187,7 @@
             val job = cluster.jobs[part.job] ?: continue
             part.done.forEach { job.progress.recordDone(it) }
             part.plans.forEach { onPlanWritten(job, it, nowMs) }
-            cover(round, job, part.chunk)
+            cover(round, job, part)
             if (part.full) removeCoverageBefore(job, part.chunk, revision)
         }
         track(round)
@@ -209,10 +210,11 @@
     private fun cover(
         round: JournaledRound,
         job: Job,
-        chunk: Int,
+        part: RoundPart,
     ) {
-        round.markNeededFor(job, chunk)
-        job.coverage.add(chunk, round)
+        part.indices.forEach(job.progress::recordStated)
+        round.markNeededFor(job, part.chunk)
+        job.coverage.add(part.chunk, round)
     }
 
     private fun track(round: JournaledRound) {
--- a/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
@@ -83,7 +83,10 @@
         val attempt: Long,
     )
 
-    /** The unwritten changes of a chunk, or the first of them that fit [maxBytes]. */
+    /**
+     * The unwritten changes of a chunk, or the first of them that fit [maxBytes]. If only waiting tasks are missing for the part to cover
+     * the whole chunk, these are added.
+     */
     private fun part(
         job: Job,
         chunk: Int,
@@ -110,9 +113,16 @@
             bytes += INDEX_BYTES
             index = job.unwritten.nextFrom(index + 1)
         }
+        val isCut = index >= 0 && TaskChunks.of(index) == chunk
+        val missing = progress.tasksToCover(chunk).filter { it !in job.unwritten }
+        val missingBytes = missing.size * INDEX_BYTES
+        val full = !isCut && missing.all(progress::isWaiting) && bytes + missingBytes < maxBytes
+        if (full) {
+            released.addAll(missing)
+            bytes += missingBytes
+        }
         val plans = groups.map { (group, indices) -> PlannedGroup(group.machine, group.incarnation, group.attempt, indices) }
-        val full = done.size + plans.sumOf { it.indices.size } == progress.coveredCount(chunk)
-        return SizedPart(RoundPart(job.id, chunk, plans, done, released, full), bytes)
+        return SizedPart(RoundPart(job.id, chunk, plans, done, released.sorted(), full), bytes)
     }
 
     /** Size of a record without its parts. */
--- a/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
+++ b/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
@@ -15,6 +15,9 @@
 ) {
     private val done = BitSet(taskCount)
     private val recordedDone = BitSet(taskCount)
+
+    /** The tasks that round records have stated as planned, done or waiting again. */
+    private val stated = BitSet()
     private val attempts = HashMap<Int, Attempt>()
     private val attemptsByState = IntArray(AttemptState.entries.size)
     private var doneWithAttempt = 0
@@ -87,24 +90,32 @@
     /** Marks task [index] as recorded as done by the store. */
     fun recordDone(index: Int) = recordedDone.set(index)
 
-    /** Marks all tasks of [chunk] that records must cover as unwritten, that is, all except the waiting ones. */
-    fun rewriteChunk(chunk: Int) {
-        for (index in tasksOf(chunk)) if (isCoveredByRecords(index)) unwritten.add(index)
+    /** Marks task [index] as stated by a round record. */
+    fun recordStated(index: Int) {
+        if (index < taskCount) stated.set(index)
     }
 
-    /** Number of tasks of [chunk] that records must cover; a task covered by no record is assumed to be waiting. */
-    fun coveredCount(chunk: Int): Int = tasksOf(chunk).count { isCoveredByRecords(it) }
+    /** Marks all tasks of [chunk] that records must cover as unwritten. */
+    fun rewriteChunk(chunk: Int) = tasksToCover(chunk).forEach(unwritten::add)
+
+    /**
+     * The tasks of [chunk] that records must cover, in ascending order. A replay takes a task that no record covers for waiting. A waiting
+     * task must be covered once a record has stated it: that record may still be in the store, as other jobs need it, and would plan the
+     * task again.
+     */
+    fun tasksToCover(chunk: Int): List<Int> = tasksOf(chunk).filter { isDone(it) || attempts.containsKey(it) || stated.get(it) }
 
     private fun tasksOf(chunk: Int): IntRange = chunk * TaskChunks.TASKS_PER_CHUNK until minOf(taskCount, (chunk + 1) * TaskChunks.TASKS_PER_CHUNK)
 
-    private fun isCoveredByRecords(index: Int): Boolean = isDone(index) || attempts.containsKey(index)
+    /** Whether task [index] is neither done nor has an attempt. */
+    fun isWaiting(index: Int): Boolean = !isDone(index) && !attempts.containsKey(index)
 
     /** The first [limit] waiting tasks, in ascending order. */
     fun waiting(limit: Int): List<Int> {
         val found = ArrayList<Int>(minOf(limit, INITIAL_CAPACITY))
         var index = firstWaiting
         while (index < taskCount && found.size < limit) {
-            if (!isDone(index) && !attempts.containsKey(index)) found.add(index)
+            if (isWaiting(index)) found.add(index)
             index++
         }
         firstWaiting = found.firstOrNull() ?: taskCount
--- a/src/main/kotlin/mintfield/core/jobs/UnwrittenTasks.kt
+++ b/src/main/kotlin/mintfield/core/jobs/UnwrittenTasks.kt
@@ -26,6 +26,9 @@
         isEmpty = indices.isEmpty
     }
 
+    /** Whether the state of task [index] is unwritten. */
+    operator fun contains(index: Int): Boolean = indices.get(index)
+
     /** Index of the first unwritten task at or after [index], or -1. */
     fun nextFrom(index: Int): Int = indices.nextSetBit(index)
 
--- /dev/null
+++ b/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
@@ -0,0 +1,108 @@
+package mintfield.core.jobs
+
+import mintfield.Fixtures
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertAll
+import kotlin.random.Random
+
+/** The round records that are left in the store must lead a new leader to the same state as all records ever written. */
+class PlanJournalTest {
+    private val sound = Fixtures.spec("wk-sound", tasks = 8)
+    private val mistaken = Fixtures.spec("wk-mistaken", tasks = 8)
+
+    /** Two jobs planned by one record; then all tasks of the mistaken one fail, and once more those that were planned again. */
+    private fun afterFailures(): JournalWithHistory {
+        val store = JournalWithHistory(listOf(sound, mistaken))
+        for (index in 0 until 8) {
+            store.plan(store.job(sound.id), index, "m-1")
+            store.plan(store.job(mistaken.id), index, "m-2")
+        }
+        store.commit()
+        val job = store.job(mistaken.id)
+        for (index in 0 until 8) store.release(job, index)
+        for (index in 0 until 2) store.plan(job, index, "m-3")
+        store.commit()
+        for (index in 0 until 2) store.release(job, index)
+        store.commit()
+        store.deleteObsolete()
+        return store
+    }
+
+    @Test
+    fun `the last record that states a release is kept while an older record still plans the task`() {
+        // Guards against quota (review/1): the successor started tasks again whose release was stated by a deleted record only.
+        val store = afterFailures()
+        store.failOver()
+        assertEquals(0, store.job(mistaken.id).activeAttempts.size)
+        assertEquals(8, store.job(sound.id).activeAttempts.size)
+    }
+
+    @Test
+    fun `a second successor still knows the releases after the first one has written records`() {
+        val store = afterFailures()
+        store.failOver()
+        store.plan(store.job(mistaken.id), 5, "m-4")
+        store.commit()
+        store.deleteObsolete()
+        store.failOver()
+        assertEquals(listOf(5), store.job(mistaken.id).activeAttempts.map { it.index })
+    }
+
+    @Test
+    fun `old records of a job that only waits are written again and become obsolete`() {
+        val store = afterFailures()
+        store.requestRewrites()
+        store.commit()
+        store.requestRewrites()
+        store.commit()
+        store.deleteObsolete()
+        assertTrue(store.stored.size <= 2, "${store.stored.size} records are left")
+        assertEquals(store.stateAfter(store.history), store.stateAfter(store.stored))
+    }
+
+    @Test
+    fun `the records left lead to the same state as all records, whatever was planned, released, done, refused or deleted`() {
+        assertAll((1..SEEDS).map { seed -> { playRandomly(seed) } })
+    }
+
+    private fun playRandomly(seed: Int) {
+        val random = Random(seed)
+        val jobs = listOf(3, 8, 2 * TaskChunks.TASKS_PER_CHUNK).mapIndexed { number, tasks -> Fixtures.spec("wk-$number", tasks) }
+        val store = JournalWithHistory(jobs)
+        repeat(STEPS) { step ->
+            repeat(random.nextInt(6)) { changeRandomTask(store, jobs.random(random).id, random) }
+            when (random.nextInt(12)) {
+                0 -> store.refusedCommit()
+                1 -> store.requestRewrites()
+                2 -> store.failOver()
+                3, 4 -> store.deleteObsolete(random.nextInt(3))
+                else -> store.commit(maxWrites = 1 + random.nextInt(4))
+            }
+            val expected = store.stateAfter(store.history)
+            val replayed = store.stateAfter(store.stored)
+            assertEquals(expected - replayed.keys, replayed - expected.keys, "tasks after all records, after the records left: seed $seed, step $step")
+            assertEquals(expected, replayed, "seed $seed, step $step")
+        }
+    }
+
+    private fun changeRandomTask(
+        store: JournalWithHistory,
+        id: String,
+        random: Random,
+    ) {
+        val job = store.job(id)
+        val index = random.nextInt(job.spec.tasks)
+        val machine = "m-${1 + random.nextInt(JournalWithHistory.MACHINES)}"
+        when {
+            job.attempt(index) != null -> if (random.nextInt(8) == 0) store.complete(job, index) else store.release(job, index)
+            !job.progress.isDone(index) -> store.plan(job, index, machine)
+        }
+    }
+
+    private companion object {
+        const val SEEDS = 20
+        const val STEPS = 120
+    }
+}
