--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -129,9 +129,7 @@
             }
             CommitResult.Refused -> planJournal.markUnwritten(commit.writes, nowMs)
             CommitResult.Unknown -> {
-                planJournal.markUnwritten(commit.writes, nowMs)
-                // The round records may have been written nonetheless, and then have to be deleted eventually.
-                commit.writes.forEach { if (it is Write.RecordRound) planJournal.deleteLater(it.key) }
+                planJournal.outcomeUnknown(commit.writes, nowMs)
                 raiseNow = true
             }
         }
--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -161,7 +161,7 @@
         }
     }
 
-    /** Marks the tasks covered by the round records in [writes] as unwritten again: the writes failed, or their outcome is unknown. */
+    /** Marks the tasks covered by the round records in [writes] as unwritten again: the writes failed. */
     fun markUnwritten(
         writes: List<Write>,
         nowMs: Long,
@@ -176,6 +176,27 @@
         }
     }
 
+    /**
+     * Handles [writes] of which it is unknown whether they were applied: their tasks are written again, their plans count as stated in the
+     * store, and the records are deleted eventually.
+     */
+    fun outcomeUnknown(
+        writes: List<Write>,
+        nowMs: Long,
+    ) {
+        markUnwritten(writes, nowMs)
+        for (write in writes) {
+            if (write !is Write.RecordRound) continue
+            obsolete.add(write.key)
+            for (part in write.record.parts) cluster.jobs[part.job]?.let { recordStatedPlans(it, part) }
+        }
+    }
+
+    private fun recordStatedPlans(
+        job: Job,
+        part: RoundPart,
+    ) = part.plans.forEach { group -> group.indices.forEach { job.progress.recordStated(it, planned = true) } }
+
     /** Records that [write] was committed at [revision]: its plans may be started, and its results are durable. */
     fun onRoundWritten(
         write: Write.RecordRound,
@@ -212,7 +233,9 @@
         job: Job,
         part: RoundPart,
     ) {
-        part.indices.forEach(job.progress::recordStated)
+        part.released.forEach { job.progress.recordStated(it, planned = false) }
+        recordStatedPlans(job, part)
+        part.done.forEach { job.progress.recordStated(it, planned = false) }
         round.markNeededFor(job, part.chunk)
         job.coverage.add(part.chunk, round)
     }
@@ -234,11 +257,6 @@
         if (round.isObsolete && rounds.remove(round.key) != null) obsolete.add(round.key)
     }
 
-    /** Schedules the deletion of record [key], of which it is unknown whether it was written. */
-    fun deleteLater(key: String) {
-        obsolete.add(key)
-    }
-
     /** Records that the record [key] was deleted. */
     fun onRoundDeleted(key: String) {
         obsolete.remove(key)
--- a/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
@@ -10,6 +10,9 @@
     /**
      * Packs the unwritten changes of at most [maxJobs] of the [jobs], chunk by chunk and in order, into at most [maxRecords] records of at
      * most [maxBytes], and removes the packed tasks from [Job.unwritten].
+     *
+     * The releases of planned tasks come first, and without all of them nothing else is packed: a plan may use the quota that a release
+     * made available, so a record with the plan must not be written before the release.
      */
     fun pack(
         jobs: List<Job>,
@@ -17,42 +20,63 @@
         maxRecords: Int,
         maxJobs: Int,
     ): List<RoundRecord> {
-        val records = RecordBuilder(maxBytes, maxRecords)
-        val packedJobs = HashSet<String>()
-        for (job in jobs) {
-            if (job.id !in packedJobs && packedJobs.size >= maxJobs) break
-            val unwritten = job.unwritten
-            var index = unwritten.nextFrom(0)
-            while (index >= 0) {
-                val sized = part(job, TaskChunks.of(index), maxBytes - RECORD_BYTES)
-                if (!records.add(sized)) return records.complete()
-                sized.part.indices.forEach(unwritten::remove)
-                packedJobs.add(job.id)
-                index = unwritten.nextFrom(index)
-            }
-        }
+        val records = RecordBuilder(maxBytes, maxRecords, maxJobs)
+        if (jobs.all { packReleases(it, records) }) jobs.all { packChanges(it, records, maxBytes) }
         return records.complete()
     }
 
+    /** Packs the releases of planned tasks of [job]. Returns whether all of them fit. */
+    private fun packReleases(
+        job: Job,
+        records: RecordBuilder,
+    ): Boolean {
+        for ((chunk, released) in job.progress.unwrittenReleases().groupBy(TaskChunks::of)) {
+            val part = RoundPart(job.id, chunk, plans = emptyList(), done = emptyList(), released)
+            if (!records.add(SizedPart(part, partBytes(job) + released.size * INDEX_BYTES))) return false
+            released.forEach(job.unwritten::remove)
+        }
+        return true
+    }
+
+    /** Packs the unwritten changes of [job]. Returns whether all of them fit. */
+    private fun packChanges(
+        job: Job,
+        records: RecordBuilder,
+        maxBytes: Int,
+    ): Boolean {
+        var index = job.unwritten.nextFrom(0)
+        while (index >= 0) {
+            val sized = part(job, TaskChunks.of(index), maxBytes - RECORD_BYTES)
+            if (!records.add(sized)) return false
+            sized.part.indices.forEach(job.unwritten::remove)
+            index = job.unwritten.nextFrom(index)
+        }
+        return true
+    }
+
     /** Marks the tasks of [part] as unwritten again, after the write of its record has failed. */
     fun markUnwritten(
         job: Job,
         part: RoundPart,
     ) = part.indices.forEach(job.unwritten::add)
 
-    /** Builds at most [maxRecords] records of at most [maxBytes] each. */
+    /** Builds at most [maxRecords] records of at most [maxBytes] each, with parts of at most [maxJobs] jobs. */
     private class RecordBuilder(
         private val maxBytes: Int,
         private val maxRecords: Int,
+        private val maxJobs: Int,
     ) {
+        private val jobs = HashSet<String>()
         private val closed = ArrayList<RoundRecord>()
         private var parts = ArrayList<RoundPart>()
         private var bytes = RECORD_BYTES
 
-        /** Adds [sized] to the open record, or to a new one if it does not fit. Returns false and adds nothing if the limit of records is reached. */
+        /** Adds [sized] to the open record, or to a new one if it does not fit. Returns false and adds nothing if a limit is reached. */
         fun add(sized: SizedPart): Boolean {
+            if (sized.part.job !in jobs && jobs.size >= maxJobs) return false
             if (bytes + sized.bytes > maxBytes) close()
             if (closed.size >= maxRecords) return false
+            jobs.add(sized.part.job)
             parts.add(sized.part)
             bytes += sized.bytes
             return true
@@ -97,7 +121,7 @@
         val groups = LinkedHashMap<GroupKey, MutableList<Int>>()
         val done = ArrayList<Int>()
         val released = ArrayList<Int>()
-        var bytes = job.id.length + PART_BYTES
+        var bytes = partBytes(job)
         var index = job.unwritten.nextFrom(base)
         while (index >= 0 && index < base + TaskChunks.TASKS_PER_CHUNK && bytes + GROUP_BYTES < maxBytes) {
             val attempt = progress.attempt(index)
@@ -125,6 +149,9 @@
         return SizedPart(RoundPart(job.id, chunk, plans, done, released.sorted(), full), bytes)
     }
 
+    /** Size of a part of [job] without its groups and indices. */
+    private fun partBytes(job: Job): Int = job.id.length + PART_BYTES
+
     /** Size of a record without its parts. */
     private const val RECORD_BYTES = 20
 
--- a/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
+++ b/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
@@ -18,6 +18,9 @@
 
     /** The tasks that round records have stated as planned, done or waiting again. */
     private val stated = BitSet()
+
+    /** The tasks that the latest record to state them, as far as known, states as planned. */
+    private val statedPlans = BitSet()
     private val attempts = HashMap<Int, Attempt>()
     private val attemptsByState = IntArray(AttemptState.entries.size)
     private var doneWithAttempt = 0
@@ -90,11 +93,19 @@
     /** Marks task [index] as recorded as done by the store. */
     fun recordDone(index: Int) = recordedDone.set(index)
 
-    /** Marks task [index] as stated by a round record. */
-    fun recordStated(index: Int) {
-        if (index < taskCount) stated.set(index)
+    /** Records that a round record in the store states task [index], and whether as [planned]. */
+    fun recordStated(
+        index: Int,
+        planned: Boolean,
+    ) {
+        if (index >= taskCount) return
+        stated.set(index)
+        statedPlans.set(index, planned)
     }
 
+    /** The waiting tasks that the store may still state as planned, in ascending order. */
+    fun unwrittenReleases(): List<Int> = statedPlans.stream().filter { it in unwritten && isWaiting(it) }.boxed().toList()
+
     /** Marks all tasks of [chunk] that records must cover as unwritten. */
     fun rewriteChunk(chunk: Int) = tasksToCover(chunk).forEach(unwritten::add)
 
--- a/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
+++ b/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
@@ -67,6 +67,48 @@
         assertAll((1..SEEDS).map { seed -> { playRandomly(seed) } })
     }
 
+    @Test
+    fun `no transaction states a plan before the releases that made room for it`() {
+        // Guards against quota: the successor started tasks again whose release did not fit into the transaction with the plans that use their quota.
+        val failed = Fixtures.spec("wk-failed", tasks = 8)
+        val large = Fixtures.spec("wk-large", tasks = 2 * TaskChunks.TASKS_PER_CHUNK)
+        val store = JournalWithHistory(listOf(failed, large))
+        for (index in 0 until 8) store.plan(store.job(failed.id), index, "m-1")
+        store.commit()
+        for (index in 0 until 8) store.release(store.job(failed.id), index)
+        for (index in 0 until large.tasks) store.plan(store.job(large.id), index, "m-2")
+        assertEquals(emptySet<String>(), plannedJobs(store.apply { commit(maxWrites = 1) }), "the releases take the only record")
+        assertEquals(setOf(large.id), plannedJobs(store.apply { commit(maxWrites = 1) }))
+    }
+
+    /** The jobs of which the records in the store state a task as planned. */
+    private fun plannedJobs(store: JournalWithHistory) = store.stateAfter(store.stored).keys.map { it.substringBefore('/') }.toSet()
+
+    @Test
+    fun `the plans in the store never use more than the quota, whatever fits into a transaction`() {
+        assertAll((1..QUOTA_SEEDS).map { seed -> { playWithinQuota(seed) } })
+    }
+
+    private fun playWithinQuota(seed: Int) {
+        val random = Random(seed)
+        val jobs = List(8) { Fixtures.spec("wk-$it", tasks = 150) }
+        val store = JournalWithHistory(jobs)
+        repeat(QUOTA_STEPS) { step ->
+            val attempts = store.cluster.jobs.values.flatMap { it.activeAttempts }
+            attempts.shuffled(random).take(random.nextInt(QUOTA)).forEach { store.release(it.job, it.index) }
+            var free = QUOTA - store.cluster.jobs.values.sumOf { it.activeAttempts.size }
+            for (job in store.cluster.jobs.values.shuffled(random)) {
+                val planned = job.waiting(random.nextInt(free + 1))
+                planned.forEach { store.plan(job, it, "m-1") }
+                free -= planned.size
+            }
+            if (random.nextInt(4) == 0) store.commitWithoutResponse(applied = random.nextBoolean()) else store.commit(maxWrites = 1 + random.nextInt(2))
+            if (random.nextInt(6) == 0) store.failOver()
+            val used = store.stateAfter(store.stored).size
+            assertTrue(used <= QUOTA, "$used tasks are planned in the store, the quota is $QUOTA: seed $seed, step $step")
+        }
+    }
+
     private fun playRandomly(seed: Int) {
         val random = Random(seed)
         val jobs = listOf(3, 8, 2 * TaskChunks.TASKS_PER_CHUNK).mapIndexed { number, tasks -> Fixtures.spec("wk-$number", tasks) }
@@ -104,5 +146,10 @@
     private companion object {
         const val SEEDS = 20
         const val STEPS = 120
+        const val QUOTA_SEEDS = 5
+        const val QUOTA_STEPS = 30
+
+        /** Number of tasks that may be planned at once; their plans need more than one record. */
+        const val QUOTA = 300
     }
 }
