--- a/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
+++ b/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
@@ -104,7 +104,12 @@
     }
 
     /** The waiting tasks that the store may still state as planned, in ascending order. */
-    fun unwrittenReleases(): List<Int> = statedPlans.stream().filter { it in unwritten && isWaiting(it) }.boxed().toList()
+    fun unwrittenReleases(): List<Int> =
+        statedPlans
+            .stream()
+            .filter { it in unwritten && isWaiting(it) }
+            .boxed()
+            .toList()
 
     /** Marks all tasks of [chunk] that records must cover as unwritten. */
     fun rewriteChunk(chunk: Int) = tasksToCover(chunk).forEach(unwritten::add)
