--- a/src/main/kotlin/mintfield/core/jobs/Attempt.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Attempt.kt
@@ -23,6 +23,12 @@
     /** Whether any controller may have sent a start of this attempt. */
     var startSent = false
 
+    /**
+     * Whether its plan permits a start: not if its job is cancelled, nor if a record of the job cannot be decoded, which may state that
+     * the task was released or is planned elsewhere.
+     */
+    val mayStart: Boolean get() = !job.cancelled && !job.unreadable
+
     /** Whether the attempt still occupies its machine, that is, has not been released. */
     val isLive: Boolean get() = state != AttemptState.RELEASED
 
--- a/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
@@ -128,7 +128,7 @@
         }
 
         private fun isStartDue(attempt: Attempt): Boolean {
-            if (attempt.job.cancelled || attempt.incarnation != machine.incarnation) return false
+            if (!attempt.mayStart || attempt.incarnation != machine.incarnation) return false
             return attempt.state == AttemptState.PLANNED || (viaHeartbeat && attempt.state == AttemptState.STARTING)
         }
 
--- a/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
@@ -81,7 +81,7 @@
         machine: Machine,
         nowMs: Long,
     ): DirectCall? {
-        if (machine.attempts.none { it.state == AttemptState.PLANNED && !it.job.cancelled }) return null
+        if (machine.attempts.none { it.state == AttemptState.PLANNED && it.mayStart }) return null
         val address = machine.heartbeats.address ?: return null
         val commands = commandPlanner.commands(machine, viaHeartbeat = false, nowMs)
         if (commands.none { it is WorkerCommand.Start }) return null
--- /dev/null
+++ b/src/test/kotlin/mintfield/core/ReplayedPlansTest.kt
@@ -0,0 +1,57 @@
+package mintfield.core
+
+import mintfield.Fixtures
+import mintfield.core.model.TaskState
+import mintfield.core.model.WorkerCommand
+import mintfield.io.json.Json
+import mintfield.io.store.RoundCodec
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** Which of the plans that a new leader replays it starts. */
+class ReplayedPlansTest {
+    private val scheduler =
+        Scheduler(Fixtures.settings, TERM) { }.also {
+            it.fleet.machineTypesRead(listOf(Fixtures.box), 0)
+            it.jobChanged(Fixtures.accepted(Fixtures.spec(JOB, tasks = 2), 3), 0)
+        }
+
+    /** Replays the round record in [json], in the form in which it is stored. */
+    private fun replay(
+        revision: Long,
+        json: String,
+    ) {
+        val record = RoundCodec.decode(Json.parseObject(json.toByteArray())!!) { scheduler.replay.unreadableJob(it.job!!) }
+        scheduler.replay.round("1-$revision", record, revision, 0)
+    }
+
+    /** The commands in the response to a heartbeat of m-1 that reports no task and has seen the new term. */
+    private fun commands(): List<WorkerCommand> {
+        scheduler.replay.complete(10)
+        val response = scheduler.heartbeat(Fixtures.heartbeat("m-1", 1, TERM), mayAct = true, nowMs = 20)
+        return (response as HeartbeatResponse.Commands).commands
+    }
+
+    private fun start(index: Int) = Fixtures.task("$JOB/$index", ATTEMPT, TaskState.RUNNING).let { WorkerCommand.Start(it.task, it.attempt) }
+
+    @Test
+    fun `a replayed plan is started`() {
+        replay(4, """{"v":2,"parts":[{"job":"wk-1","shard":0,"plan":[["m-1",1,65536,"0-1"]]}]}""")
+        replay(5, """{"v":2,"parts":[{"job":"wk-1","shard":0,"free":"1"}]}""")
+        assertEquals(listOf(start(0)), commands())
+    }
+
+    @Test
+    fun `a replayed plan is not started if a part of a record on its job cannot be decoded`() {
+        // Guards against ran_twice: that part may state that the task runs elsewhere.
+        replay(4, """{"v":2,"parts":[{"job":"wk-1","shard":0,"plan":[["m-1",1,65536,"0-1"]]}]}""")
+        replay(5, """{"v":2,"parts":[{"job":"wk-1","shard":0,"plan":[["m-2",1,65537,"0-1","in a later form"]]}]}""")
+        assertEquals(emptyList<WorkerCommand>(), commands())
+    }
+
+    private companion object {
+        const val TERM = 9L
+        const val JOB = "wk-1"
+        const val ATTEMPT = 65_536L
+    }
+}
