--- a/src/main/kotlin/mintfield/app/leader/Replay.kt
+++ b/src/main/kotlin/mintfield/app/leader/Replay.kt
@@ -9,6 +9,7 @@
 import mintfield.core.constants.LeadershipConstants
 import mintfield.core.constants.StoreConstants
 import mintfield.core.jobs.JobListener
+import mintfield.core.jobs.KnownJob
 import mintfield.core.model.JobSpec
 import mintfield.io.cloud.CloudResult
 import mintfield.io.loop.EventLoop
@@ -156,7 +157,7 @@
         scheduler.replay.complete(nowMs)
     }
 
-    /** Replays the round in [entry]. If parts of the record are unreadable, the rest is replayed and the record is kept. */
+    /** Replays the round in [entry]. If parts of the record or records of its jobs are unreadable, the rest is replayed and the record is kept. */
     private fun replayRound(
         entry: Entry,
         nowMs: Long,
@@ -168,6 +169,7 @@
                 Log.error("${entry.key}: cannot decode round of revision ${entry.revision} for ${job ?: "an unknown job"}; record kept, rest replayed")
                 if (job == null) scheduler.replay.unreadableRound(nowMs) else scheduler.replay.unreadableJob(job)
             }
+        if (record.parts.any { replicator.known(it.job) == KnownJob.Unreadable }) keep = true
         val number = entry.key.removePrefix(keys.rounds)
         Log.info("round $number of revision ${entry.revision} replayed: ${record.summary}")
         scheduler.replay.round(number, record, entry.revision, nowMs, keep)
--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -34,7 +34,7 @@
     /**
      * Replays a round record that was read at [revision]: its plans and results replace the known state of the same tasks. Records must be
      * replayed in the order of their revisions, since a later record was written with proof that the plans it replaces are released.
-     * [keep]: whether a part of the record cannot be decoded, in which case the record is never deleted.
+     * [keep]: whether a part of the record, or the record of one of its jobs, cannot be decoded. The record is then never deleted.
      */
     fun replay(
         key: String,
--- a/src/test/kotlin/mintfield/loopback/ServiceEndToEndTest.kt
+++ b/src/test/kotlin/mintfield/loopback/ServiceEndToEndTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** Behaviour of jobs from submission to their final state as users observe it, on real controllers over loopback. */
@@ -154,6 +155,19 @@
         assertEquals(200, ask(a, "POST", "/v1/jobs", TestJobs.json("wk-000070", 3))!!.status)
     }
 
+    @Test
+    fun `the round record of a job whose own record is unreadable is kept`() {
+        // Guards against ran_twice: a later leader that can read the job must learn from it where its tasks may run.
+        services.store.forcePut("mf/j/l/wk-000075", """{"spec":7}""")
+        services.store.forcePut("mf/p/1-1", """{"v":2,"parts":[{"job":"wk-000075","shard":0,"plan":[["m-9",1,65536,"0"]]}]}""")
+        services.store.forcePut("mf/p/1-2", """{"v":2,"parts":[{"job":"wk-000076","shard":0,"plan":[["m-9",1,65536,"0"]]}]}""")
+        val deleted = ConcurrentLinkedQueue<String>()
+        services.store.onChange = { key, data, _ -> if (key.startsWith("mf/p/") && data == null) deleted.add(key) }
+        startController("plot-0")
+        await("the round record of a job that has ended is deleted") { "mf/p/1-2" in deleted }
+        assertEquals(listOf("mf/p/1-2"), deleted.toList())
+    }
+
     @Test
     fun `submissions batched into a transaction that is too large for the store are accepted in smaller ones`() {
         val a = startController("plot-0")
