--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -49,11 +49,21 @@
             part.released.forEach { index -> replaceAttempt(job, index, nowMs) }
             part.plans.forEach { replayPlan(job, it, nowMs) }
             part.done.forEach { replayDone(job, it, nowMs) }
+            if (!record.keepsReleases) doubtEarlierPlans(job, part)
             cover(round, job, part)
         }
         if (!keep) track(round)
     }
 
+    /** Marks the plans of the chunk of [part] that [part] does not state: a deleted record may have released them. */
+    private fun doubtEarlierPlans(
+        job: Job,
+        part: RoundPart,
+    ) {
+        val stated = part.indices.toSet()
+        job.activeAttempts.filter { TaskChunks.of(it.index) == part.chunk && it.index !in stated }.forEach(Attempt::doubt)
+    }
+
     private fun replaceAttempt(
         job: Job,
         index: Int,
--- a/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
@@ -153,7 +153,7 @@
     private fun partBytes(job: Job): Int = job.id.length + PART_BYTES
 
     /** Size of a record without its parts. */
-    private const val RECORD_BYTES = 20
+    private const val RECORD_BYTES = 26
 
     /** Size of a part without its job id, groups and indices. */
     private const val PART_BYTES = 24
--- a/src/main/kotlin/mintfield/core/jobs/RoundRecord.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundRecord.kt
@@ -3,6 +3,11 @@
 /** Record of one round: a single value in the store with the changes of all changed jobs. */
 class RoundRecord(
     val parts: List<RoundPart>,
+    /**
+     * Whether its writer kept every record that was the last to state the release of a task that an older record plans. Versions before
+     * the field existed deleted such records.
+     */
+    val keepsReleases: Boolean = true,
 ) {
     /** How many tasks the record states as planned, done and released, as a phrase for log lines. */
     val summary: String
--- a/src/main/kotlin/mintfield/io/store/RoundCodec.kt
+++ b/src/main/kotlin/mintfield/io/store/RoundCodec.kt
@@ -17,6 +17,7 @@
  * that the round changed. Task numbers are encoded as ranges relative to their chunk (see [TaskChunks]).
  */
 object RoundCodec {
+    private const val VERSION = "v"
     private const val PARTS = "parts"
     private const val JOB = "job"
     private const val CHUNK = "shard"
@@ -24,6 +25,9 @@
     private const val DONE = "done"
     private const val RELEASED = "free"
 
+    /** The version of records whose writers keep the records of releases ([RoundRecord.keepsReleases]); earlier ones have no version. */
+    private const val RELEASES_KEPT_VERSION = 2
+
     /** Number of elements of the array that represents a planned group. The GROUP_ constants are the positions of its elements. */
     private const val GROUP_SIZE = 4
     private const val GROUP_MACHINE = 0
@@ -42,6 +46,7 @@
     /** Encodes [record] as JSON. */
     fun encode(record: RoundRecord): ByteArray =
         Json.obj {
+            if (record.keepsReleases) writeNumberField(VERSION, RELEASES_KEPT_VERSION)
             writeArrayFieldStart(PARTS)
             record.parts.forEach { writePart(this, it) }
             writeEndArray()
@@ -85,7 +90,8 @@
     ): RoundRecord {
         val parts = data[PARTS].asList()
         if (parts == null) onUnreadable(UnreadablePart(job = null, "$PARTS: expected a list"))
-        return RoundRecord(parts.orEmpty().mapNotNull { readPart(it.asMap(), onUnreadable) })
+        val version = data.long(VERSION) ?: 0
+        return RoundRecord(parts.orEmpty().mapNotNull { readPart(it.asMap(), onUnreadable) }, keepsReleases = version >= RELEASES_KEPT_VERSION)
     }
 
     private fun readPart(
--- a/src/test/kotlin/mintfield/golden/StoredRecordsGoldenTest.kt
+++ b/src/test/kotlin/mintfield/golden/StoredRecordsGoldenTest.kt
@@ -29,6 +29,8 @@
 import mintfield.io.store.ZoneFenceCodec
 import org.junit.jupiter.api.Assertions.assertArrayEquals
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 /** Pins the records in the state store, which earlier and later versions of this program read. */
@@ -110,9 +112,18 @@
         val data = record("round", RoundCodec.encode(RoundRecord(parts)))
         val read = RoundCodec.decode(data) { error("unreadable: $it") }
         assertEquals(parts.map(::fields), read.parts.map(::fields))
+        assertTrue(read.keepsReleases)
         assertEquals(0, RoundCodec.decode(record("round-empty", RoundCodec.encode(RoundRecord(emptyList())))) { error("unreadable: $it") }.parts.size)
     }
 
+    @Test
+    fun `a round of a version that deleted records of releases is read, and known as such`() {
+        val read = RoundCodec.decode(Json.parseObject(GoldenFile.bytes("stored/round-without-version.json"))!!) { error("unreadable: $it") }
+        val withVersion = RoundCodec.decode(Json.parseObject(GoldenFile.bytes("stored/round.json"))!!) { error("unreadable: $it") }
+        assertEquals(withVersion.parts.map(::fields), read.parts.map(::fields))
+        assertFalse(read.keepsReleases)
+    }
+
     private fun fields(part: RoundPart) = listOf(part.job, part.chunk, part.plans, part.done, part.released)
 
     @Test
