--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -4,7 +4,6 @@
 import mintfield.core.Write
 import mintfield.core.constants.PlacementConstants
 import mintfield.core.fleet.FleetManager
-import mintfield.core.fleet.Machine
 
 /**
  * Journal of plans and results in the store, a sequence of round records. Replays the records after a failover, selects the tasks that
@@ -18,8 +17,9 @@
  */
 class PlanJournal(
     private val cluster: Cluster,
-    private val fleet: FleetManager,
+    fleet: FleetManager,
 ) {
+    private val partReplay = RoundPartReplay(cluster, fleet)
     private val obsolete = LinkedHashSet<String>()
 
     /** The needed round records in the store by key, the oldest first. */
@@ -29,8 +29,6 @@
     /** Keys of obsolete records, to be deleted when spare writes are available. A later leader finds the remaining ones. */
     val obsoleteRounds: Set<String> get() = obsolete
 
-    // ---- replay ----
-
     /**
      * Replays a round record that was read at [revision]: its plans and results replace the known state of the same tasks. Records must be
      * replayed in the order of their revisions, since a later record was written with proof that the plans it replaces are released.
@@ -46,71 +44,12 @@
         val round = JournaledRound(key, revision, nowMs)
         for (part in record.parts) {
             val job = cluster.jobs[part.job] ?: continue
-            part.released.forEach { index -> replaceAttempt(job, index, nowMs) }
-            part.plans.forEach { replayPlan(job, it, nowMs) }
-            part.done.forEach { replayDone(job, it, nowMs) }
-            if (!record.keepsReleases) doubtEarlierPlans(job, part)
+            partReplay.apply(part, job, record.keepsReleases, nowMs)
             cover(round, job, part)
         }
         if (!keep) track(round)
     }
 
-    /** Marks the plans of the chunk of [part] that [part] does not state: a deleted record may have released them. */
-    private fun doubtEarlierPlans(
-        job: Job,
-        part: RoundPart,
-    ) {
-        val stated = part.indices.toSet()
-        job.activeAttempts.filter { TaskChunks.of(it.index) == part.chunk && it.index !in stated }.forEach(Attempt::doubt)
-    }
-
-    private fun replaceAttempt(
-        job: Job,
-        index: Int,
-        nowMs: Long,
-    ) {
-        job.attempt(index)?.let { cluster.release(it, nowMs, Cluster.SUPERSEDED) }
-    }
-
-    private fun replayDone(
-        job: Job,
-        index: Int,
-        nowMs: Long,
-    ) {
-        if (index >= job.spec.tasks) return
-        replaceAttempt(job, index, nowMs)
-        job.progress.setDone(index)
-        job.progress.recordDone(index)
-    }
-
-    private fun replayPlan(
-        job: Job,
-        group: PlannedGroup,
-        nowMs: Long,
-    ) {
-        val machine = cluster.machines[group.machine] ?: unknownMachine(group.machine, job, nowMs) ?: return
-        for (index in group.indices) {
-            if (index >= job.spec.tasks || job.progress.isDone(index)) continue
-            replaceAttempt(job, index, nowMs)
-            if (group.incarnation < machine.incarnation) continue
-            val attempt = cluster.occupy(job, index, group.attempt, machine, group.incarnation)
-            attempt.startSent = true
-            attempt.moveTo(AttemptState.PLANNED, nowMs)
-        }
-    }
-
-    /** Adds a machine known only from a plan: its type is provisional until a heartbeat or the cloud's list states it. */
-    private fun unknownMachine(
-        id: String,
-        job: Job,
-        nowMs: Long,
-    ): Machine? {
-        val type = job.compatibleTypes.firstNotNullOfOrNull { cluster.types[it] } ?: cluster.types.values.firstOrNull() ?: return null
-        val zone = job.spec.zone ?: type.zones.firstOrNull() ?: return null
-        if (!cluster.ownership.owns(id)) return fleet.registry.addOwnedElsewhere(id, type, zone, nowMs)
-        return fleet.registry.getOrAdd(id, type.name, zone, false, nowMs)?.also { it.origin.markProvisional() }
-    }
-
     // ---- writes ----
 
     /**
