--- a/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
@@ -12,7 +12,8 @@
      * most [maxBytes], and removes the packed tasks from [Job.unwritten].
      *
      * The releases of planned tasks come first, and without all of them nothing else is packed: a plan may use the quota that a release
-     * made available, so a record with the plan must not be written before the release.
+     * made available, so a record with the plan must not be written before the release. The plans of a job whose tasks must be in certain
+     * zones must not be written before the release of its tasks that are planned anew either; they follow with the next transaction.
      */
     fun pack(
         jobs: List<Job>,
@@ -21,19 +22,37 @@
         maxJobs: Int,
     ): List<RoundRecord> {
         val records = RecordBuilder(maxBytes, maxRecords, maxJobs)
-        if (jobs.all { packReleases(it, records) }) jobs.all { packChanges(it, records, maxBytes) }
+        if (jobs.all { packReleases(it, records) }) jobs.filter(::mayStatePlans).all { packChanges(it, records, maxBytes) }
         return records.complete()
     }
 
+    private fun mayStatePlans(job: Job): Boolean = job.unwritten.filter { isPlannedAnew(job, it) }.isEmpty()
+
+    /** Whether task [index] of [job] is bound to zones, planned and not written, while the store may still state its previous plan. */
+    private fun isPlannedAnew(
+        job: Job,
+        index: Int,
+    ): Boolean {
+        val isZoneBound = job.spec.oneZone || job.spec.spread
+        return isZoneBound && job.attempt(index)?.state == AttemptState.PLANNING && job.progress.isStatedAsPlanned(index)
+    }
+
+    /** Whether task [index] of [job], which is unwritten, must be stated as released before any plan is stated. */
+    private fun isRelease(
+        job: Job,
+        index: Int,
+    ): Boolean = (job.progress.isWaiting(index) && job.progress.isStatedAsPlanned(index)) || isPlannedAnew(job, index)
+
     /** Packs the releases of planned tasks of [job]. Returns whether all of them fit. */
     private fun packReleases(
         job: Job,
         records: RecordBuilder,
     ): Boolean {
-        for ((chunk, released) in job.progress.unwrittenReleases().groupBy(TaskChunks::of)) {
+        val releases = job.unwritten.filter { isRelease(job, it) }
+        for ((chunk, released) in releases.groupBy(TaskChunks::of)) {
             val part = RoundPart(job.id, chunk, plans = emptyList(), done = emptyList(), released)
             if (!records.add(SizedPart(part, partBytes(job) + released.size * INDEX_BYTES))) return false
-            released.forEach(job.unwritten::remove)
+            released.filter(job.progress::isWaiting).forEach(job.unwritten::remove)
         }
         return true
     }
--- a/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
+++ b/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
@@ -103,13 +103,8 @@
         statedPlans.set(index, planned)
     }
 
-    /** The waiting tasks that the store may still state as planned, in ascending order. */
-    fun unwrittenReleases(): List<Int> =
-        statedPlans
-            .stream()
-            .filter { it in unwritten && isWaiting(it) }
-            .boxed()
-            .toList()
+    /** Whether the store may still state task [index] as planned. */
+    fun isStatedAsPlanned(index: Int): Boolean = statedPlans.get(index)
 
     /** Marks all tasks of [chunk] that records must cover as unwritten. */
     fun rewriteChunk(chunk: Int) = tasksToCover(chunk).forEach(unwritten::add)
--- a/src/main/kotlin/mintfield/core/jobs/UnwrittenTasks.kt
+++ b/src/main/kotlin/mintfield/core/jobs/UnwrittenTasks.kt
@@ -32,6 +32,17 @@
     /** Index of the first unwritten task at or after [index], or -1. */
     fun nextFrom(index: Int): Int = indices.nextSetBit(index)
 
+    /** The unwritten tasks that match [predicate], in ascending order. */
+    inline fun filter(predicate: (Int) -> Boolean): List<Int> {
+        val found = ArrayList<Int>()
+        var index = nextFrom(0)
+        while (index >= 0) {
+            if (predicate(index)) found.add(index)
+            index = nextFrom(index + 1)
+        }
+        return found
+    }
+
     /** Sets [sinceMs] to [nowMs], unless an earlier change is still unwritten. */
     fun waitSince(nowMs: Long) {
         if (sinceMs == 0L) sinceMs = nowMs
--- a/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
+++ b/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
@@ -89,6 +89,28 @@
             .map { it.substringBefore('/') }
             .toSet()
 
+    @Test
+    fun `a job bound to one zone that was placed elsewhere is never stated in two zones`() {
+        // Guards against wrong_place: the successor started tasks in the zone that the job had left.
+        val moved = Fixtures.spec("wk-moved", tasks = 2 * TaskChunks.TASKS_PER_CHUNK, oneZone = true)
+        val store = JournalWithHistory(listOf(moved))
+        for (index in 0 until moved.tasks) store.plan(store.job(moved.id), index, "m-1")
+        repeat(4) { store.commit() }
+        for (index in 0 until moved.tasks) store.release(store.job(moved.id), index)
+        for (index in 0 until moved.tasks) store.plan(store.job(moved.id), index, "m-2")
+        repeat(8) { transaction ->
+            store.commit(maxWrites = 1)
+            val machines =
+                store
+                    .stateAfter(store.stored)
+                    .values
+                    .map { it.substringBefore('@') }
+                    .toSet()
+            assertTrue(machines.size <= 1, "transaction $transaction: the job is planned on $machines, in different zones")
+        }
+        assertEquals(store.job(moved.id).activeAttempts.size, store.stateAfter(store.stored).size)
+    }
+
     @Test
     fun `the plans in the store never use more than the quota, whatever fits into a transaction`() {
         assertAll((1..QUOTA_SEEDS).map { seed -> { playWithinQuota(seed) } })
