--- a/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
+++ b/src/test/kotlin/mintfield/core/jobs/PlanJournalTest.kt
@@ -50,6 +50,20 @@
         assertEquals(listOf(5), store.job(mistaken.id).activeAttempts.map { it.index })
     }
 
+    @Test
+    fun `releases stay stated while a record that is kept as unreadable plans their tasks`() {
+        val store = afterFailures()
+        store.failOver(unreadable = 1)
+        repeat(3) {
+            store.requestRewrites()
+            store.commit()
+            store.deleteObsolete()
+        }
+        assertTrue(store.stored.first() === store.history.first(), "the unreadable record is kept")
+        store.failOver()
+        assertEquals(0, store.job(mistaken.id).activeAttempts.size)
+    }
+
     @Test
     fun `old records of a job that only waits are written again and become obsolete`() {
         val store = afterFailures()
@@ -111,6 +125,29 @@
         assertEquals(store.job(moved.id).activeAttempts.size, store.stateAfter(store.stored).size)
     }
 
+    @Test
+    fun `a spread job that was placed anew is never stated with more than half of its tasks in one zone`() {
+        // Guards against wrong_place, as above.
+        val spread = Fixtures.spec("wk-spread", tasks = 2 * TaskChunks.TASKS_PER_CHUNK, spread = true)
+        val store = JournalWithHistory(listOf(spread))
+        val half = spread.tasks / 2
+        for (index in 0 until spread.tasks) store.plan(store.job(spread.id), index, if (index < half) "m-1" else "m-2")
+        repeat(4) { store.commit() }
+        for (index in 0 until spread.tasks) store.release(store.job(spread.id), index)
+        for (index in 0 until spread.tasks) store.plan(store.job(spread.id), index, if (index < half) "m-2" else "m-1")
+        repeat(8) { transaction ->
+            store.commit(maxWrites = 1)
+            val inZones =
+                store
+                    .stateAfter(store.stored)
+                    .values
+                    .groupingBy { it.substringBefore('@') }
+                    .eachCount()
+            assertTrue(inZones.values.all { it <= half }, "transaction $transaction: $inZones of ${spread.tasks} tasks on machines in different zones")
+        }
+        assertEquals(spread.tasks, store.stateAfter(store.stored).size)
+    }
+
     @Test
     fun `the plans in the store never use more than the quota, whatever fits into a transaction`() {
         assertAll((1..QUOTA_SEEDS).map { seed -> { playWithinQuota(seed) } })
