--- a/src/main/kotlin/mintfield/core/TeamQuotas.kt
+++ b/src/main/kotlin/mintfield/core/TeamQuotas.kt
@@ -36,6 +36,9 @@
     /** Resources currently occupied by the tasks of [team]. */
     fun usage(team: String): Usage = usageByTeam.getOrPut(team) { Usage() }
 
+    /** Whether team [name] has a limit. */
+    fun isLimited(name: String): Boolean = teams[name]?.let { it.cpusMax > 0 || it.gpusMax > 0 } ?: false
+
     /** Number of further tasks of [spec] that its team's quota currently allows; 0 if the team is unknown. */
     fun allowance(spec: JobSpec): Int {
         val team = teams[spec.team] ?: return 0
@@ -47,8 +50,18 @@
     }
 
     /** The teams whose tasks occupy more than their limits, each with its usage. */
-    fun exceeded(): Map<Team, Usage> =
-        teams.values.associateWith { usage(it.name) }.filter { (team, used) -> isAbove(used.cpus, team.cpusMax) || isAbove(used.gpus, team.gpusMax) }
+    fun exceeded(): Map<Team, Usage> = teams.values.filter { !allows(it.name, cpus = 0.0, gpus = 0.0) }.associateWith { usage(it.name) }
+
+    /** Whether team [name] would stay within its limits if its tasks occupied [cpus] and [gpus] more. */
+    fun allows(
+        name: String,
+        cpus: Double,
+        gpus: Double,
+    ): Boolean {
+        val team = teams[name] ?: return true
+        val used = usage(name)
+        return !isAbove(used.cpus + cpus, team.cpusMax) && !isAbove(used.gpus + gpus, team.gpusMax)
+    }
 
     private fun isAbove(
         used: Double,
--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -67,7 +67,8 @@
         if (changed.none { isDue(it, maxDelayMs, nowMs) }) return 0
         val order = changed.sortedWith(compareBy<Job>({ if (it.planning) 0 else 1 }, { it.priority }).thenBy { it.unwritten.sinceMs })
         val maxBytes = (cluster.limits.valueBytes * PlacementConstants.MAX_VALUE_FILL).toInt()
-        val records = RoundPacker.pack(order, maxBytes, maxRecords = minOf(maxWrites, MAX_ROUND_VALUES), maxJobs())
+        val limits = RoundPacker.Limits(maxBytes, maxRecords = minOf(maxWrites, MAX_ROUND_VALUES), maxJobs())
+        val records = RoundPacker.pack(order, limits, teamsAtLimit(changed))
         for (record in records) {
             val jobs = record.parts.mapTo(LinkedHashSet()) { it.job }.map { cluster.jobs.getValue(it) }
             number++
@@ -77,6 +78,26 @@
         return records.size
     }
 
+    /** The teams that would exceed their limits if all their plans, but no releases of the [changed] jobs were written. */
+    private fun teamsAtLimit(changed: List<Job>): Set<String> {
+        val jobsByTeam = changed.filter { cluster.quotas.isLimited(it.spec.team) }.groupBy { it.spec.team }
+        return jobsByTeam.filterNot { (team, jobs) -> hasQuotaForReleases(team, jobs) }.keys
+    }
+
+    private fun hasQuotaForReleases(
+        team: String,
+        jobs: List<Job>,
+    ): Boolean {
+        var cpus = 0.0
+        var gpus = 0.0
+        for (job in jobs) {
+            val released = job.unwritten.filter(job.progress::isUnwrittenRelease).size
+            cpus += released * job.spec.cpus
+            gpus += released * job.spec.gpus
+        }
+        return cluster.quotas.allows(team, cpus, gpus)
+    }
+
     private fun hasChangesToWrite(job: Job): Boolean = !job.unwritten.isEmpty && !job.cancelled && !job.finishing && !job.unreadable && !job.allDone
 
     private fun isDue(
--- a/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundPacker.kt
@@ -7,52 +7,81 @@
  * Sizes are estimated in characters, which equal bytes, since ids and numbers are ASCII.
  */
 object RoundPacker {
+    /** The limits of the records of one transaction. */
+    class Limits(
+        /** Maximum size of a record in bytes. */
+        val maxBytes: Int,
+        val maxRecords: Int,
+        val maxJobs: Int,
+    )
+
     /**
-     * Packs the unwritten changes of at most [maxJobs] of the [jobs], chunk by chunk and in order, into at most [maxRecords] records of at
-     * most [maxBytes], and removes the packed tasks from [Job.unwritten].
+     * Packs the unwritten changes of [jobs], chunk by chunk and in order, as far as they fit into [limits], and removes the packed tasks
+     * from [Job.unwritten].
      *
-     * The releases of planned tasks come first, and without all of them nothing else is packed: a plan may use the quota that a release
-     * made available, so a record with the plan must not be written before the release. The plans of a job whose tasks must be in certain
-     * zones must not be written before the release of its tasks that are planned anew either; they follow with the next transaction.
+     * A plan must not be written before the releases without which it would break a rule, since a replay starts the tasks of both. The
+     * plans of [teamsAtLimit] use the quota that their releases made available, so these come first, and nothing else is packed unless
+     * all of them fit. A zone-bound job is packed only together with its own releases ([packZoneBound]).
      */
     fun pack(
         jobs: List<Job>,
-        maxBytes: Int,
-        maxRecords: Int,
-        maxJobs: Int,
+        limits: Limits,
+        teamsAtLimit: Set<String> = emptySet(),
     ): List<RoundRecord> {
-        val records = RecordBuilder(maxBytes, maxRecords, maxJobs)
-        if (jobs.all { packReleases(it, records) }) jobs.filter(::mayStatePlans).all { packChanges(it, records, maxBytes) }
+        val records = RecordBuilder(limits)
+        val releasesFit = jobs.all { it.spec.team !in teamsAtLimit || packReleases(it, unwrittenReleases(it), records) }
+        if (releasesFit) jobs.all { if (isZoneBound(it)) packZoneBound(it, records) else packChanges(it, records) }
         return records.complete()
     }
 
-    private fun mayStatePlans(job: Job): Boolean = job.unwritten.filter { isPlannedAnew(job, it) }.isEmpty()
+    private fun isZoneBound(job: Job): Boolean = job.spec.oneZone || job.spec.spread
 
-    /** Whether task [index] of [job] is bound to zones, planned and not written, while the store may still state its previous plan. */
-    private fun isPlannedAnew(
+    /**
+     * Packs the unwritten changes of the zone-bound [job]. If they may not fit into one part, its releases come first, and its plans
+     * follow with the next transaction if a task is planned anew. Returns whether all of them fit.
+     */
+    private fun packZoneBound(
         job: Job,
-        index: Int,
+        records: RecordBuilder,
     ): Boolean {
-        val isZoneBound = job.spec.oneZone || job.spec.spread
-        return isZoneBound && job.attempt(index)?.state == AttemptState.PLANNING && job.progress.isStatedAsPlanned(index)
+        if (fitsOnePart(job, records.limits.maxBytes)) return packChanges(job, records)
+        val plannedAnew = job.unwritten.filter { isPlannedAnew(job, it) }
+        val released = (unwrittenReleases(job) + plannedAnew).sorted()
+        return packReleases(job, released, records) && (plannedAnew.isNotEmpty() || packChanges(job, records))
     }
 
-    /** Whether task [index] of [job], which is unwritten, must be stated as released before any plan is stated. */
-    private fun isRelease(
+    /** Whether a part certainly holds all unwritten changes of [job], even if each task is on a machine of its own. */
+    private fun fitsOnePart(
+        job: Job,
+        maxBytes: Int,
+    ): Boolean {
+        if (job.spec.tasks > TaskChunks.TASKS_PER_CHUNK) return false
+        var taskBytes = 0
+        for (index in job.unwritten.filter()) {
+            val attempt = job.attempt(index)
+            taskBytes += INDEX_BYTES + GROUP_BYTES + (attempt?.machine?.id?.length ?: 0)
+        }
+        return RECORD_BYTES + partBytes(job) + taskBytes + GROUP_BYTES < maxBytes
+    }
+
+    /** Whether task [index] of [job] is planned and not written, while the store may still state its previous plan. */
+    private fun isPlannedAnew(
         job: Job,
         index: Int,
-    ): Boolean = (job.progress.isWaiting(index) && job.progress.isStatedAsPlanned(index)) || isPlannedAnew(job, index)
+    ): Boolean = job.attempt(index)?.state == AttemptState.PLANNING && job.progress.isStatedAsPlanned(index)
 
-    /** Packs the releases of planned tasks of [job]. Returns whether all of them fit. */
+    private fun unwrittenReleases(job: Job): List<Int> = job.unwritten.filter(job.progress::isUnwrittenRelease)
+
+    /** Packs tasks of [job] as [released]. Those that are planned anew stay unwritten. Returns whether all of them fit. */
     private fun packReleases(
         job: Job,
+        released: List<Int>,
         records: RecordBuilder,
     ): Boolean {
-        val releases = job.unwritten.filter { isRelease(job, it) }
-        for ((chunk, released) in releases.groupBy(TaskChunks::of)) {
-            val part = RoundPart(job.id, chunk, plans = emptyList(), done = emptyList(), released)
-            if (!records.add(SizedPart(part, partBytes(job) + released.size * INDEX_BYTES))) return false
-            released.filter(job.progress::isWaiting).forEach(job.unwritten::remove)
+        for ((chunk, ofChunk) in released.groupBy(TaskChunks::of)) {
+            val part = RoundPart(job.id, chunk, plans = emptyList(), done = emptyList(), ofChunk)
+            if (!records.add(SizedPart(part, partBytes(job) + ofChunk.size * INDEX_BYTES))) return false
+            ofChunk.filter(job.progress::isWaiting).forEach(job.unwritten::remove)
         }
         return true
     }
@@ -61,11 +90,10 @@
     private fun packChanges(
         job: Job,
         records: RecordBuilder,
-        maxBytes: Int,
     ): Boolean {
         var index = job.unwritten.nextFrom(0)
         while (index >= 0) {
-            val sized = part(job, TaskChunks.of(index), maxBytes - RECORD_BYTES)
+            val sized = part(job, TaskChunks.of(index), records.limits.maxBytes - RECORD_BYTES)
             if (!records.add(sized)) return false
             sized.part.indices.forEach(job.unwritten::remove)
             index = job.unwritten.nextFrom(index)
@@ -79,11 +107,9 @@
         part: RoundPart,
     ) = part.indices.forEach(job.unwritten::add)
 
-    /** Builds at most [maxRecords] records of at most [maxBytes] each, with parts of at most [maxJobs] jobs. */
+    /** Builds the records of one transaction within [limits]. */
     private class RecordBuilder(
-        private val maxBytes: Int,
-        private val maxRecords: Int,
-        private val maxJobs: Int,
+        val limits: Limits,
     ) {
         private val jobs = HashSet<String>()
         private val closed = ArrayList<RoundRecord>()
@@ -92,9 +118,9 @@
 
         /** Adds [sized] to the open record, or to a new one if it does not fit. Returns false and adds nothing if a limit is reached. */
         fun add(sized: SizedPart): Boolean {
-            if (sized.part.job !in jobs && jobs.size >= maxJobs) return false
-            if (bytes + sized.bytes > maxBytes) close()
-            if (closed.size >= maxRecords) return false
+            if (sized.part.job !in jobs && jobs.size >= limits.maxJobs) return false
+            if (bytes + sized.bytes > limits.maxBytes) close()
+            if (closed.size >= limits.maxRecords) return false
             jobs.add(sized.part.job)
             parts.add(sized.part)
             bytes += sized.bytes
--- a/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
+++ b/src/main/kotlin/mintfield/core/jobs/TaskProgress.kt
@@ -106,6 +106,9 @@
     /** Whether the store may still state task [index] as planned. */
     fun isStatedAsPlanned(index: Int): Boolean = statedPlans.get(index)
 
+    /** Whether task [index] waits, while the store may still state it as planned. */
+    fun isUnwrittenRelease(index: Int): Boolean = isStatedAsPlanned(index) && index in unwritten && isWaiting(index)
+
     /** Marks all tasks of [chunk] that records must cover as unwritten. */
     fun rewriteChunk(chunk: Int) = tasksToCover(chunk).forEach(unwritten::add)
 
--- a/src/main/kotlin/mintfield/core/jobs/UnwrittenTasks.kt
+++ b/src/main/kotlin/mintfield/core/jobs/UnwrittenTasks.kt
@@ -32,8 +32,8 @@
     /** Index of the first unwritten task at or after [index], or -1. */
     fun nextFrom(index: Int): Int = indices.nextSetBit(index)
 
-    /** The unwritten tasks that match [predicate], in ascending order. */
-    inline fun filter(predicate: (Int) -> Boolean): List<Int> {
+    /** The unwritten tasks that match [predicate], by default all, in ascending order. */
+    inline fun filter(predicate: (Int) -> Boolean = { true }): List<Int> {
         val found = ArrayList<Int>()
         var index = nextFrom(0)
         while (index >= 0) {
