--- a/src/main/kotlin/mintfield/core/fleet/MachineRegistry.kt
+++ b/src/main/kotlin/mintfield/core/fleet/MachineRegistry.kt
@@ -145,7 +145,7 @@
             cluster.release(attempt, nowMs, Cluster.SUPERSEDED)
             val moved = cluster.occupy(attempt.job, attempt.index, attempt.number, to, attempt.incarnation)
             moved.startSent = attempt.startSent
-            if (attempt.isDoubtful) moved.doubt()
+            if (attempt.isUnconfirmed) moved.markUnconfirmed()
             if (state != AttemptState.PLANNING) moved.moveTo(AttemptState.PLANNED, nowMs)
             if (state == AttemptState.STOPPING) moved.moveTo(AttemptState.STOPPING, nowMs)
         }
--- a/src/main/kotlin/mintfield/core/jobs/Attempt.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Attempt.kt
@@ -27,19 +27,19 @@
      * Whether its plan was replayed but may have been released by a record that an earlier version of the program deleted. Unless its
      * worker reports it, it is released as soon as its absence is proven.
      */
-    var isDoubtful = false
+    var isUnconfirmed = false
         private set
 
-    /** Sets [isDoubtful]. */
-    fun doubt() {
-        isDoubtful = true
+    /** Sets [isUnconfirmed]. */
+    fun markUnconfirmed() {
+        isUnconfirmed = true
     }
 
     /**
-     * Whether its plan permits a start: not if its job is cancelled or its plan doubtful, nor if a record of the job cannot be decoded,
+     * Whether its plan permits a start: not if its job is cancelled or its plan unconfirmed, nor if a record of the job cannot be decoded,
      * which may state that the task was released or is planned elsewhere.
      */
-    val mayStart: Boolean get() = !job.cancelled && !job.unreadable && !isDoubtful
+    val mayStart: Boolean get() = !job.cancelled && !job.unreadable && !isUnconfirmed
 
     /** Whether the attempt still occupies its machine, that is, has not been released. */
     val isLive: Boolean get() = state != AttemptState.RELEASED
--- a/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
@@ -247,7 +247,7 @@
 
     /**
      * Handles an [attempt] that is missing from a heartbeat. An attempt never reported is kept, since its start may be in flight, unless
-     * its plan is doubtful; any other is released once its absence is proven.
+     * its plan is unconfirmed; any other is released once its absence is proven.
      */
     private fun reconcileMissing(
         attempt: Attempt,
@@ -258,7 +258,7 @@
             when (attempt.state) {
                 AttemptState.PULLING, AttemptState.RUNNING -> "no longer reported"
                 AttemptState.STOPPING -> "absent"
-                AttemptState.PLANNED -> if (attempt.isDoubtful) "absent, and its plan may have been released" else return
+                AttemptState.PLANNED -> if (attempt.isUnconfirmed) "absent, and its plan may have been released" else return
                 else -> return
             }
         if (provesAbsence) {
--- a/src/main/kotlin/mintfield/core/jobs/RoundPartReplay.kt
+++ b/src/main/kotlin/mintfield/core/jobs/RoundPartReplay.kt
@@ -22,7 +22,7 @@
         part.released.forEach { index -> releaseAttempt(job, index, nowMs) }
         part.plans.forEach { applyPlan(job, it, nowMs) }
         part.done.forEach { applyDone(job, it, nowMs) }
-        if (!keepsReleases) doubtEarlierPlans(job, part)
+        if (!keepsReleases) markUnconfirmedPlans(job, part)
     }
 
     private fun releaseAttempt(
@@ -73,11 +73,11 @@
     }
 
     /** Marks the plans of the chunk of [part] that [part] does not state: a deleted record may have released them. */
-    private fun doubtEarlierPlans(
+    private fun markUnconfirmedPlans(
         job: Job,
         part: RoundPart,
     ) {
         val stated = part.indices.toSet()
-        job.activeAttempts.filter { TaskChunks.of(it.index) == part.chunk && it.index !in stated }.forEach(Attempt::doubt)
+        job.activeAttempts.filter { TaskChunks.of(it.index) == part.chunk && it.index !in stated }.forEach(Attempt::markUnconfirmed)
     }
 }
