--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -6,6 +6,7 @@
 import mintfield.core.fleet.MachineState
 import mintfield.core.jobs.Attempt
 import mintfield.core.jobs.AttemptState
+import mintfield.core.jobs.CommandCounters
 import mintfield.core.jobs.Job
 import mintfield.core.jobs.RunTimes
 import mintfield.core.model.MachineType
@@ -30,6 +31,7 @@
     val timings = Timings(settings)
     val connectionLimits = ConnectionLimits(settings)
     val quotas = TeamQuotas(settings)
+    val commandCounters = CommandCounters()
 
     /** The leader's current term: the revision of the leader key. */
     var term = firstTerm
--- a/src/main/kotlin/mintfield/core/ClusterSummary.kt
+++ b/src/main/kotlin/mintfield/core/ClusterSummary.kt
@@ -23,5 +23,6 @@
             .groupingBy { it.state }
             .eachCount()
     return "term ${cluster.term}: ${jobs.size} jobs, $suspectJobs of them suspect, $dependentJobs wait for predecessors, " +
-        "attempts $attemptsByState, $waitingTasks waiting, machines $machinesByState, ${fleet.overdueCount(nowMs)} overdue, ${freeCpus.toInt()} CPUs free"
+        "attempts $attemptsByState, $waitingTasks waiting, machines $machinesByState, ${fleet.overdueCount(nowMs)} overdue, ${freeCpus.toInt()} CPUs free, " +
+        cluster.commandCounters.describe()
 }
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -39,7 +39,7 @@
     val zoneFencing = ZoneFencing(cluster, log)
     private val cancellations = KnownCancellations(cluster, isRecordedAsCancelled)
     internal val reconciler = HeartbeatReconciler(cluster, log)
-    private val commandPlanner = CommandPlanner(cluster, cancellations::isKnown)
+    private val commandPlanner = CommandPlanner(cluster, cancellations::isKnown, log)
     private val planJournal = PlanJournal(cluster, fleet)
 
     /** Restores the state from the records of earlier leaders. */
--- a/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
@@ -21,7 +21,8 @@
 class CommandPlanner(
     private val cluster: Cluster,
     /** Whether the cancellation of the job with this id was confirmed to the user, whichever shard schedules the job. */
-    private val isCancelled: (String) -> Boolean = { false },
+    private val isCancelled: (String) -> Boolean,
+    private val log: (String) -> Unit,
 ) {
     /**
      * The commands for [machine] after its last heartbeat. [viaHeartbeat]: whether they are sent in the response to the heartbeat, as
@@ -41,6 +42,7 @@
         val builder = CommandListBuilder(machine, heartbeat, viaHeartbeat, nowMs)
         heartbeat.tasks.forEach(builder::addForReported)
         val started = builder.addStarts()
+        builder.reportUnplannedTasks()
         if (viaHeartbeat) machine.reachability.recordResponse(cluster.token(machine), started)
         if (!builder.commands.isEmpty) return builder.commands.inOrder()
         machine.occupancy.markReconciled(builder.heartbeatMatchesPlan())
@@ -60,6 +62,9 @@
         private val expected = HashSet<TaskId>(heartbeat.tasks.size * 2)
         private val provesAbsence = heartbeat.provesAbsence(machine)
 
+        /** Tasks that the worker reports as active although they are not planned on the machine. */
+        private val unplanned = ArrayList<TaskStatus>()
+
         /** Adds the stop or the acknowledgement that [status] requires, if any. */
         fun addForReported(status: TaskStatus) {
             val job = cluster.jobs[status.task.job]
@@ -102,6 +107,7 @@
         ) {
             if (status.state != TaskState.ENDED) {
                 commands.add(WorkerCommand.Stop(status.task, status.attempt, graceS = 0.0))
+                unplanned.add(status)
             } else if (viaHeartbeat && mayAcknowledge(job, status)) {
                 // After an acknowledgement the worker forgets the attempt, and a late start would run it again.
                 if (provesAbsence) {
@@ -112,6 +118,14 @@
             }
         }
 
+        /** Counts and logs the unplanned tasks: they show that a start was carried out that this leader had not planned or had released. */
+        fun reportUnplannedTasks() {
+            if (unplanned.isEmpty()) return
+            cluster.commandCounters.unplannedTasksReported(unplanned.size)
+            val named = unplanned.take(MAX_LOGGED_TASKS).joinToString { "${it.task} attempt ${it.attempt}" }
+            log("${machine.id}: reports ${unplanned.size} tasks that are not planned there, to be stopped: $named")
+        }
+
         /** Adds the starts that are due, marks them as sent and returns their attempts. */
         fun addStarts(): List<Attempt> {
             if (!cluster.ownership.mayStart(machine.id)) return emptyList()
@@ -164,5 +178,8 @@
 
         /** Milliseconds after the end of its grace period from which on a task is stopped without grace. */
         const val GRACE_SLACK_MS = 3_000L
+
+        /** Maximum number of tasks named in one log line. */
+        const val MAX_LOGGED_TASKS = 3
     }
 }
--- a/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
@@ -84,9 +84,21 @@
         if (machine.attempts.none { it.state == AttemptState.PLANNED && it.mayStart }) return null
         val address = machine.heartbeats.address ?: return null
         val commands = commandPlanner.commands(machine, viaHeartbeat = false, nowMs)
-        if (commands.none { it is WorkerCommand.Start }) return null
+        val starts = commands.filterIsInstance<WorkerCommand.Start>()
+        if (starts.isEmpty()) return null
         machine.directRoute.callStarted()
-        return DirectCall(machine.id, address, cluster.token(machine), machine.incarnation, commands)
+        val call = DirectCall(machine.id, address, cluster.token(machine), machine.incarnation, commands)
+        logStarts(call, starts)
+        return call
+    }
+
+    private fun logStarts(
+        call: DirectCall,
+        starts: List<WorkerCommand.Start>,
+    ) {
+        cluster.commandCounters.directStartsSent(starts.size)
+        val named = starts.take(MAX_LOGGED_STARTS).joinToString { "${it.task} attempt ${it.attempt}" }
+        log("${call.machine}: starting ${starts.size} tasks directly, token ${call.term}, incarnation ${call.incarnation}: $named")
     }
 
     /** A call without commands that tests whether an unreachable machine can be reached again. It starts nothing and needs no fencing. */
@@ -134,5 +146,8 @@
     private companion object {
         /** Maximum number of unreachable machines probed per call of [calls]. */
         const val MAX_CONCURRENT_PROBES = 2
+
+        /** Maximum number of starts named in one log line. */
+        const val MAX_LOGGED_STARTS = 3
     }
 }
