--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -40,7 +40,7 @@
         ops: Int,
         yielding: Boolean,
     ): Commit? {
-        if (isRaiseDue(nowMs)) return Commit(cluster.term, listOf(Write.RaiseTerm))
+        if (raiseNow) return Commit(cluster.term, listOf(Write.RaiseTerm))
         zoneFencing.updateFences(nowMs, wallMs)
         val scarce = ops < cluster.limits.txnOps * PlacementConstants.PLENTIFUL_WRITES_FRACTION
         rounds.runIfDue(nowMs, wallMs, scarce)
@@ -52,11 +52,12 @@
         addScaleOutIntents(batch)
         // Garbage collection yields to the writes that users wait for.
         if (!yielding || planJournal.obsoleteRounds.size >= MAX_OBSOLETE_ROUNDS) addGarbageCollection(batch, nowMs)
+        if (batch.writes.isEmpty() && isRaiseDue(nowMs)) batch.add(Write.RaiseTerm)
         return if (batch.writes.isEmpty()) null else Commit(cluster.term, batch.writes)
     }
 
-    private fun isRaiseDue(nowMs: Long): Boolean =
-        raiseNow || (cluster.termRaiseRequested && nowMs - lastRaiseMs >= LeadershipConstants.MIN_TERM_RAISE_INTERVAL_MS)
+    /** Whether a machine waits for a higher token. The revision of any other transaction provides one as well. */
+    private fun isRaiseDue(nowMs: Long): Boolean = cluster.termRaiseRequested && nowMs - lastRaiseMs >= LeadershipConstants.MIN_TERM_RAISE_INTERVAL_MS
 
     /** Machines wait for fences to be lifted, and a new leader relies on recorded fences as proof of expired leases. */
     private fun addZoneFences(batch: CommitBatch) {
@@ -122,7 +123,10 @@
         nowMs: Long,
     ) {
         when (result) {
-            is CommitResult.Done -> commit.writes.forEach { onWritten(it, result.revision, nowMs) }
+            is CommitResult.Done -> {
+                cluster.leadershipConfirmed(result.revision)
+                commit.writes.forEach { onWritten(it, result.revision, nowMs) }
+            }
             is CommitResult.Conflict -> {
                 planJournal.markUnwritten(commit.writes, nowMs)
                 result.jobs.forEach { id -> cluster.jobs[id]?.let { conflicted(it, commit.guardRevisions[id], nowMs) } }
@@ -201,7 +205,7 @@
         raiseNow = true
     }
 
-    /** Adopts [term] after the leader key was rewritten. Workers that have seen it refuse starts under lower terms. */
+    /** Adopts [term] after the leader key was rewritten: transactions under lower terms can no longer be applied. */
     fun termRaised(
         term: Long,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/core/HeartbeatService.kt
+++ b/src/main/kotlin/mintfield/core/HeartbeatService.kt
@@ -49,7 +49,7 @@
         cancellationsToMs: Long,
     ): HeartbeatResponse {
         if (!ownership.owns(heartbeat.machine)) return HeartbeatResponse.NotOwner
-        if (heartbeat.termSeen > token(heartbeat)) return HeartbeatResponse.Deposed
+        if (heartbeat.termSeen > cluster.highestToken(heartbeat.machine)) return HeartbeatResponse.Deposed
         if (!zoneFencing.mayRespondTo(heartbeat.machine)) return HeartbeatResponse.ZoneFenced
         val mayRenew = leaseRenewalLimit.allows(nowMs - cancellationsToMs)
         if (!replay.isComplete) return respondDuringReplay(heartbeat, mayRenew, nowMs)
@@ -81,7 +81,9 @@
         if (!mayRenew || (!mayAct && reconciler.mayStartCancelled(machine, heartbeat))) return HeartbeatResponse.RenewalRefused
         machine.lease.renew(nowMs)
         if (!isNewest || !mayAct) return stopsOnly(heartbeat)
-        return HeartbeatResponse.Commands(token(heartbeat), commandPlanner.commands(machine, viaHeartbeat = true, nowMs))
+        // The planner may raise the token, and the commands rely on the higher one.
+        val commands = commandPlanner.commands(machine, viaHeartbeat = true, nowMs)
+        return HeartbeatResponse.Commands(cluster.token(machine), commands)
     }
 
     /**
@@ -96,16 +98,21 @@
                 .map { WorkerCommand.Stop(it.task, it.attempt, 0.0) },
         )
 
-    /** The fencing token of responses to [heartbeat]: the leader's term, or the machine's ownership epoch if that is higher. */
-    private fun token(heartbeat: Heartbeat): Long = maxOf(cluster.term, ownership.epoch(heartbeat.machine))
+    /** The fencing token of responses to [heartbeat] without commands that depend on its height. */
+    private fun token(heartbeat: Heartbeat): Long {
+        val machine = cluster.machines[heartbeat.machine]
+        return if (machine == null) maxOf(heartbeat.termSeen, cluster.firstTerm, ownership.epoch(heartbeat.machine)) else cluster.token(machine)
+    }
 
     private fun knownMachine(
         heartbeat: Heartbeat,
         nowMs: Long,
     ): Machine? {
-        val machine = fleet.registry.getOrAdd(heartbeat.machine, heartbeat.type, heartbeat.zone, heartbeat.spot, nowMs)
-        if (machine == null || !machine.provisional) return machine
-        return fleet.registry.redescribe(machine, heartbeat.type, heartbeat.zone, heartbeat.spot, nowMs)
+        val known = fleet.registry.getOrAdd(heartbeat.machine, heartbeat.type, heartbeat.zone, heartbeat.spot, nowMs) ?: return null
+        val machine = if (known.provisional) fleet.registry.redescribe(known, heartbeat.type, heartbeat.zone, heartbeat.spot, nowMs) else known
+        // This leader may have issued the seen token before it lost the machine's state, and may not have applied the machine's epoch yet.
+        machine?.lease?.raiseToken(maxOf(heartbeat.termSeen, ownership.epoch(heartbeat.machine)))
+        return machine
     }
 
     private fun recordBootTime(
--- a/src/main/kotlin/mintfield/core/Scheduler.kt
+++ b/src/main/kotlin/mintfield/core/Scheduler.kt
@@ -150,7 +150,7 @@
     /** Requests a higher term, so that the precondition of an unanswered write fails if the write is still carried out later. */
     fun fenceLateWrites() = commits.fenceLateWrites()
 
-    /** Adopts [term] after the leader key was rewritten. Workers that have seen it refuse starts under lower terms. */
+    /** Adopts [term] after the leader key was rewritten: transactions under lower terms can no longer be applied. */
     fun termRaised(
         term: Long,
         nowMs: Long,
--- a/src/main/kotlin/mintfield/core/fleet/WorkerLease.kt
+++ b/src/main/kotlin/mintfield/core/fleet/WorkerLease.kt
@@ -27,6 +27,17 @@
     var unacknowledgedTerm = 0L
         private set
 
+    /** The fencing token of the commands to the machine; it only rises. */
+    var token = 0L
+        private set
+
+    /** The highest token of a direct call with starts, whether it was answered or not. A copy of the call is refused once the worker has seen a higher one. */
+    var directStartToken = 0L
+        private set
+
+    /** Whether a direct start sent under the current token got no response. While its outcome is unknown, no further call is made. */
+    val hasUnansweredStart: Boolean get() = unacknowledgedTerm >= token
+
     /** Whether this leader has granted or renewed the lease, so that it knows when the lease ends. */
     val isKnown: Boolean get() = renewedAtMs != Machine.NEVER
 
@@ -53,6 +64,7 @@
     ) {
         this.epoch = epoch
         requiredTerm = maxOf(firstTerm, epoch)
+        raiseToken(requiredTerm)
         unacknowledgedTerm = requiredTerm - 1
     }
 
@@ -68,14 +80,26 @@
         renew(nowMs)
     }
 
-    /** Copies renewal time and unacknowledged term of [other], the lease of the same machine under another description. */
+    /** Copies renewal time and tokens of [other], the lease of the same machine under another description. */
     fun copyFrom(other: WorkerLease) {
         renewedAtMs = other.renewedAtMs
         recordUnacknowledged(other.unacknowledgedTerm)
+        recordDirectStart(other.directStartToken)
+        raiseToken(other.token)
     }
 
     /** Records that a direct start command of [term] may have been sent and got no response. */
     fun recordUnacknowledged(term: Long) {
         unacknowledgedTerm = maxOf(unacknowledgedTerm, term)
     }
+
+    /** Records that a direct call with starts is sent under [token]. */
+    fun recordDirectStart(token: Long) {
+        directStartToken = maxOf(directStartToken, token)
+    }
+
+    /** Raises [token] to [to] if that is higher. */
+    fun raiseToken(to: Long) {
+        token = maxOf(token, to)
+    }
 }
--- a/src/main/kotlin/mintfield/core/jobs/CommandCounters.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandCounters.kt
@@ -4,6 +4,7 @@
 class CommandCounters {
     private var directStarts = 0L
     private var unplannedTasks = 0L
+    private var raisedTokens = 0L
 
     /** Counts [starts] sent in a direct call. */
     fun directStartsSent(starts: Int) {
@@ -15,6 +16,11 @@
         unplannedTasks += tasks
     }
 
+    /** Counts a raise of the fencing token of one machine. */
+    fun tokenRaised() {
+        raisedTokens++
+    }
+
     /** The numbers as a phrase for log lines. */
-    fun describe() = "$directStarts direct starts, $unplannedTasks unplanned tasks stopped"
+    fun describe() = "$directStarts direct starts, $raisedTokens raised tokens, $unplannedTasks unplanned tasks stopped"
 }
--- a/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
@@ -35,6 +35,7 @@
         nowMs: Long,
     ): List<WorkerCommand> {
         val heartbeat = machine.lastHeartbeat ?: return emptyList()
+        if (viaHeartbeat && machine.lease.hasUnansweredStart) refusesDirectStarts(machine)
         if (machine.occupancy.reconciled) {
             if (viaHeartbeat) machine.reachability.recordResponse(cluster.token(machine), emptyList())
             return emptyList()
@@ -60,7 +61,6 @@
 
         /** Reported tasks that are either planned on the machine with the reported attempt, or foreign. */
         private val expected = HashSet<TaskId>(heartbeat.tasks.size * 2)
-        private val provesAbsence = heartbeat.provesAbsence(machine)
 
         /** Tasks that the worker reports as active although they are not planned on the machine. */
         private val unplanned = ArrayList<TaskStatus>()
@@ -108,13 +108,8 @@
             if (status.state != TaskState.ENDED) {
                 commands.add(WorkerCommand.Stop(status.task, status.attempt, graceS = 0.0))
                 unplanned.add(status)
-            } else if (viaHeartbeat && mayAcknowledge(job, status)) {
-                // After an acknowledgement the worker forgets the attempt, and a late start would run it again.
-                if (provesAbsence) {
-                    commands.add(WorkerCommand.Acknowledge(status.task, status.attempt))
-                } else if (machine.lease.unacknowledgedTerm >= cluster.token(machine)) {
-                    cluster.requestTermRaise()
-                }
+            } else if (viaHeartbeat && mayAcknowledge(job, status) && refusesDirectStarts(machine)) {
+                commands.add(WorkerCommand.Acknowledge(status.task, status.attempt))
             }
         }
 
@@ -166,6 +161,12 @@
         }
     }
 
+    /**
+     * Whether the worker of [machine] refuses late copies of all direct starts once it has received the response, whose token is raised if
+     * need be. Otherwise it must not forget attempts: the copy of the start of a forgotten attempt would run it again.
+     */
+    private fun refusesDirectStarts(machine: Machine) = !machine.directRoute.inFlight && cluster.fenceDirectStarts(machine)
+
     /** Whether a worker may forget the exit of a task that is not planned on it. A success may be forgotten only once the store records it. */
     private fun mayAcknowledge(
         job: Job?,
--- a/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
@@ -63,7 +63,7 @@
         machine.state == MachineState.UP &&
             !isCallPending(machine, nowMs) &&
             isDirectRouteLikely(machine, nowMs) &&
-            machine.lease.unacknowledgedTerm < cluster.token(machine) &&
+            !machine.lease.hasUnansweredStart &&
             cluster.ownership.mayStart(machine.id)
 
     private fun isCallPending(
@@ -88,6 +88,7 @@
         if (starts.isEmpty()) return null
         machine.directRoute.callStarted()
         val call = DirectCall(machine.id, address, cluster.token(machine), machine.incarnation, commands)
+        machine.lease.recordDirectStart(call.term)
         logStarts(call, starts)
         return call
     }
--- a/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
@@ -261,11 +261,7 @@
                 AttemptState.PLANNED -> if (attempt.isUnconfirmed) "absent, and its plan may have been released" else return
                 else -> return
             }
-        if (provesAbsence) {
-            cluster.release(attempt, nowMs, proof)
-        } else if (attempt.machine.lease.unacknowledgedTerm >= cluster.token(attempt.machine)) {
-            cluster.requestTermRaise()
-        }
+        if (provesAbsence) cluster.release(attempt, nowMs, proof)
     }
 
     /** Records the success of a task, whichever attempt achieved it, including one that is no longer planned. */
--- a/src/test/kotlin/mintfield/core/ownership/SharedMachinesSimulationTest.kt
+++ b/src/test/kotlin/mintfield/core/ownership/SharedMachinesSimulationTest.kt
@@ -55,6 +55,19 @@
         }
     }
 
+    @Test
+    fun `no task runs twice when answered direct commands arrive again after machines have moved`() {
+        var repeated = 0
+        for (seed in 1..SEEDS) {
+            val w = world(seed)
+            w.repeatedCallFraction = 0.5
+            for (i in 1..15) w.failTasks(4_000L * i, forMs = 3_000)
+            run(seed, w)
+            repeated += w.repeatedCalls
+        }
+        assertTrue(repeated > SEEDS * 10, "only $repeated commands arrived again")
+    }
+
     @Test
     fun `every job ends under faults`() {
         for (seed in 1..SEEDS / 2) {
--- a/src/test/kotlin/mintfield/sim/SimulatedNetwork.kt
+++ b/src/test/kotlin/mintfield/sim/SimulatedNetwork.kt
@@ -16,6 +16,13 @@
     /** Fraction of the heartbeats of which a copy is kept and delivered to the next elected leader. */
     var copiedHeartbeatFraction = 0.0
 
+    /** Fraction of the direct commands that arrive once more after they were carried out and answered. */
+    var repeatedCallFraction = 0.0
+
+    /** Number of direct commands that have arrived once more. */
+    var repeatedCalls = 0
+        private set
+
     /** Delivers the kept copies of heartbeats to [leader], which has just been elected. */
     fun deliverCopies(leader: SimulatedLeader) {
         copies.forEach { processHeartbeat(leader, it) }
@@ -95,12 +102,21 @@
             val received = response
             if (received != null && outcome > 3) {
                 leader.scheduler.directCallResponded(call, received, context.nowMs)
+                if (context.repeats(repeatedCallFraction)) repeat(worker, call)
             } else {
                 leader.scheduler.directCallUnanswered(call, true, context.nowMs)
             }
         }
     }
 
+    private fun repeat(
+        worker: SimWorker,
+        call: DirectCall,
+    ) = context.after(context.repetitionDelayMs()) {
+        repeatedCalls++
+        deliverDirect(worker, call)
+    }
+
     /** Executes [call] on [worker] and returns the response. A hung or unreachable worker executes it after it has recovered, and its response is lost. */
     private fun deliverDirect(
         worker: SimWorker,
