--- a/src/main/kotlin/mintfield/app/leader/Replay.kt
+++ b/src/main/kotlin/mintfield/app/leader/Replay.kt
@@ -10,6 +10,7 @@
 import mintfield.core.constants.StoreConstants
 import mintfield.core.jobs.JobListener
 import mintfield.core.jobs.KnownJob
+import mintfield.core.jobs.RoundKey
 import mintfield.core.model.JobSpec
 import mintfield.io.cloud.CloudResult
 import mintfield.io.loop.EventLoop
@@ -40,7 +41,7 @@
 
     private class LeaderRecords(
         val intents: List<Entry>,
-        /** Records of rounds, in the order of their revisions. */
+        /** Records of rounds, in the order in which they were first written. */
         val rounds: List<Entry>,
         val learnedState: List<LearnedState>,
     )
@@ -113,7 +114,7 @@
 
     private suspend fun readLeaderRecords(): LeaderRecords {
         val intents = readAll(keys.intents)
-        val rounds = readAll(keys.rounds).sortedBy { it.revision }
+        val rounds = readAll(keys.rounds).sortedBy { RoundKey.parse(it.key.removePrefix(keys.rounds), it.revision) }
         readMachines()
         val learnedState = readAll(keys.learnedState).map { LearnedStateCodec.decode(it.data) }
         return LeaderRecords(intents, rounds, learnedState)
--- a/src/main/kotlin/mintfield/app/leader/WriteEncoder.kt
+++ b/src/main/kotlin/mintfield/app/leader/WriteEncoder.kt
@@ -23,7 +23,10 @@
     private val tenure: LeaderTenure,
 ) {
     /** The preconditions of [write], without the one on the leader key. */
-    fun preconditionsOf(write: Write): List<Precondition> = write.guardedJobs.map { Precondition(Keys.live(it.id), it.revision) }
+    fun preconditionsOf(write: Write): List<Precondition> {
+        val ofJobs = write.guardedJobs.map { Precondition(Keys.live(it.id), it.revision) }
+        return if (write is Write.RecordRound) ofJobs + Precondition(keys.round(write.key), ABSENT) else ofJobs
+    }
 
     /** The keys that [write] puts and deletes. */
     fun keyWrites(write: Write): List<KeyWrite> =
@@ -50,4 +53,9 @@
         val maxBytes = limits.current.valueBytes * PlacementConstants.MAX_VALUE_FILL
         return LearnedStateCodec.encode(learnedState, maxBytes.toInt())
     }
+
+    private companion object {
+        /** The revision of a key that does not exist. */
+        const val ABSENT = 0L
+    }
 }
--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -28,6 +28,7 @@
     private val learnedStateBlocks = LearnedStateBlocks(cluster)
     private var lastRaiseMs = Machine.NEVER
     private var raiseNow = false
+    private val deletions = DeletionPolicy(cluster)
 
     /**
      * Returns the next transaction, with urgent writes first, or null if there is nothing to write. It holds the plans of the
@@ -45,13 +46,15 @@
         val scarce = ops < cluster.limits.txnOps * PlacementConstants.PLENTIFUL_WRITES_FRACTION
         rounds.runIfDue(nowMs, wallMs, scarce)
         val batch = CommitBatch(ops)
+        // Garbage collection yields to the writes that users wait for.
+        val collectsGarbage = !yielding || planJournal.obsoleteRounds.size >= MAX_OBSOLETE_ROUNDS
+        if (mustRaiseToDelete(collectsGarbage, nowMs)) batch.add(Write.RaiseTerm)
         addZoneFences(batch)
         addCancelledSuccessors(batch)
         addFinished(batch)
         addRounds(batch, scarce, nowMs)
         addScaleOutIntents(batch)
-        // Garbage collection yields to the writes that users wait for.
-        if (!yielding || planJournal.obsoleteRounds.size >= MAX_OBSOLETE_ROUNDS) addGarbageCollection(batch, nowMs)
+        if (collectsGarbage) addGarbageCollection(batch, nowMs)
         if (batch.writes.isEmpty() && isRaiseDue(nowMs)) batch.add(Write.RaiseTerm)
         return if (batch.writes.isEmpty()) null else Commit(cluster.term, batch.writes)
     }
@@ -59,6 +62,26 @@
     /** Whether a machine waits for a higher token. The revision of any other transaction provides one as well. */
     private fun isRaiseDue(nowMs: Long): Boolean = cluster.termRaiseRequested && nowMs - lastRaiseMs >= LeadershipConstants.MIN_TERM_RAISE_INTERVAL_MS
 
+    /**
+     * Whether records that are to be deleted were created in the current term. The lifting of a fence does not wait for the next raise, as
+     * machines wait for it.
+     */
+    private fun mustRaiseToDelete(
+        collectsGarbage: Boolean,
+        nowMs: Long,
+    ): Boolean {
+        if (zoneFencing.fencesToLift.any { !deletions.mayDelete(LeaderRecord.Fence(it)) }) return true
+        if (!collectsGarbage || nowMs - lastRaiseMs < LeadershipConstants.GARBAGE_TERM_RAISE_INTERVAL_MS) return false
+        return planJournal.obsoleteRounds.any { !deletions.mayDelete(LeaderRecord.Round(it)) } ||
+            fleet.completedIntents.any { !deletions.mayDelete(LeaderRecord.Intent(it)) }
+    }
+
+    /** Whether [batch] may contain the deletion of [record]. */
+    private fun mayDelete(
+        record: LeaderRecord,
+        batch: CommitBatch,
+    ): Boolean = Write.RaiseTerm in batch.writes || deletions.mayDelete(record)
+
     /** Machines wait for fences to be lifted, and a new leader relies on recorded fences as proof of expired leases. */
     private fun addZoneFences(batch: CommitBatch) {
         batch.addAll(zoneFencing.fencesToLift.asSequence()) { Write.LiftZoneFence(it) }
@@ -100,7 +123,7 @@
     private fun addScaleOutIntents(batch: CommitBatch) {
         batch.addAll(fleet.unrecordedIntents.asSequence().take(1)) { Write.WriteIntent(it) }
         // A new leader would repeat any remaining intent, at the low rate of cloud requests.
-        batch.addAll(fleet.completedIntents.asSequence()) { Write.DeleteIntent(it) }
+        batch.addAll(fleet.completedIntents.asSequence().filter { mayDelete(LeaderRecord.Intent(it), batch) }) { Write.DeleteIntent(it) }
     }
 
     private fun addGarbageCollection(
@@ -113,7 +136,8 @@
                 .filter { it.cancellationRecorded && it.activeAttempts.isEmpty() && !it.finishing }
         batch.addAll(cancelledWithoutAttempts) { Write.DeleteJobRecord(it) }
         if (batch.remaining > 0) learnedStateBlocks.due(nowMs)?.let { batch.add(it) }
-        planJournal.obsoleteRounds.take(maxOf(0, batch.remaining - GC_RESERVE)).forEach { batch.add(Write.DeleteRound(it)) }
+        val obsolete = planJournal.obsoleteRounds.asSequence().filter { mayDelete(LeaderRecord.Round(it), batch) }
+        obsolete.take(maxOf(0, batch.remaining - GC_RESERVE)).toList().forEach { batch.add(Write.DeleteRound(it)) }
     }
 
     /** Applies the [result] of [commit] to the leader's state. */
@@ -125,6 +149,7 @@
         when (result) {
             is CommitResult.Done -> {
                 cluster.leadershipConfirmed(result.revision)
+                deletions.onApplied(commit)
                 commit.writes.forEach { onWritten(it, result.revision, nowMs) }
             }
             is CommitResult.Conflict -> {
@@ -133,6 +158,7 @@
             }
             CommitResult.Refused -> planJournal.markUnwritten(commit.writes, nowMs)
             CommitResult.Unknown -> {
+                deletions.onSent(commit)
                 planJournal.outcomeUnknown(commit.writes, nowMs)
                 raiseNow = true
             }
--- a/src/main/kotlin/mintfield/core/LeaderReplay.kt
+++ b/src/main/kotlin/mintfield/core/LeaderReplay.kt
@@ -9,7 +9,7 @@
 
 /**
  * Restores a new leader's state from the records of earlier leaders. The caller passes the records one at a time, the rounds
- * after the jobs and in the order of their revisions, and finally calls [complete]. Until then the leader plans nothing and starts no
+ * after the jobs and in the order of their keys, and finally calls [complete]. Until then the leader plans nothing and starts no
  * tasks.
  */
 class LeaderReplay internal constructor(
--- a/src/main/kotlin/mintfield/core/Write.kt
+++ b/src/main/kotlin/mintfield/core/Write.kt
@@ -9,19 +9,31 @@
     /** Jobs whose records must be unchanged, as a precondition of the write. */
     val guardedJobs: Collection<Job> get() = emptyList()
 
-    /** Records the outcome of a scheduling round, and the results from heartbeats since the previous round, for all affected [jobs]. */
+    /** The record that the write creates; null if it creates none. */
+    val creates: LeaderRecord? get() = null
+
+    /** The record that the write deletes; null if it deletes none. */
+    val deletes: LeaderRecord? get() = null
+
+    /**
+     * Records the outcome of a scheduling round, and the results from heartbeats since the previous round, for all affected [jobs].
+     * Precondition: there is no record under [key].
+     */
     data class RecordRound(
         val key: String,
         val record: RoundRecord,
         val jobs: List<Job>,
     ) : Write {
         override val guardedJobs get() = jobs
+        override val creates get() = LeaderRecord.Round(key)
     }
 
     /** Deletes a round record that later records cover in full. */
     data class DeleteRound(
         val key: String,
-    ) : Write
+    ) : Write {
+        override val deletes get() = LeaderRecord.Round(key)
+    }
 
     /** Replaces the record of a completed job by its final state. */
     data class FinishJob(
@@ -47,12 +59,16 @@
     /** Records a decision to scale out, before the request is sent to the cloud. */
     data class WriteIntent(
         val intent: ScaleOutIntent,
-    ) : Write
+    ) : Write {
+        override val creates get() = LeaderRecord.Intent(intent.idempotencyKey)
+    }
 
     /** Deletes a recorded decision to scale out that the cloud has carried out. */
     data class DeleteIntent(
         val idempotencyKey: String,
-    ) : Write
+    ) : Write {
+        override val deletes get() = LeaderRecord.Intent(idempotencyKey)
+    }
 
     /** Saves one [block] of the leader's learned estimates. A large fleet needs several blocks, one value each. */
     data class SaveLearnedState(
@@ -63,12 +79,16 @@
     /** Records machines whose leases are no longer renewed, so that they expire. */
     data class FenceZone(
         val record: ZoneFence,
-    ) : Write
+    ) : Write {
+        override val creates get() = LeaderRecord.Fence(record.key)
+    }
 
     /** Deletes the record of a lifted zone fence. */
     data class LiftZoneFence(
         val key: String,
-    ) : Write
+    ) : Write {
+        override val deletes get() = LeaderRecord.Fence(key)
+    }
 
     /** Rewrites the leader key, which raises its revision and therefore the term. */
     data object RaiseTerm : Write
--- a/src/main/kotlin/mintfield/core/constants/LeadershipConstants.kt
+++ b/src/main/kotlin/mintfield/core/constants/LeadershipConstants.kt
@@ -26,6 +26,9 @@
     /** Minimum time between two raises of the term. Each costs a write and a heartbeat from every worker. */
     const val MIN_TERM_RAISE_INTERVAL_MS = 2_000L
 
+    /** Minimum time between a raise of the term and the next one that permits the deletion of obsolete records. A new leader has to read the remaining ones. */
+    const val GARBAGE_TERM_RAISE_INTERVAL_MS = 10_000L
+
     /** Time after startup for which the client port stays closed while no leader is known. It is longer than an election takes. */
     const val LISTEN_DELAY_WITHOUT_LEADER_MS = 1_500L
 
--- a/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
+++ b/src/main/kotlin/mintfield/core/jobs/PlanJournal.kt
@@ -31,7 +31,7 @@
 
     /**
      * Replays a round record that was read at [revision]: its plans and results replace the known state of the same tasks. Records must be
-     * replayed in the order of their revisions, since a later record was written with proof that the plans it replaces are released.
+     * replayed in the order of their keys ([RoundKey]), since a later record was written with proof that the plans it replaces are released.
      * [keep]: whether a part of the record, or the record of one of its jobs, cannot be decoded. The record is then never deleted.
      */
     fun replay(
@@ -72,7 +72,7 @@
         for (record in records) {
             val jobs = record.parts.mapTo(LinkedHashSet()) { it.job }.map { cluster.jobs.getValue(it) }
             number++
-            writes.add(Write.RecordRound("${cluster.firstTerm}-$number", record, jobs))
+            writes.add(Write.RecordRound(RoundKey(cluster.firstTerm, number).toString(), record, jobs))
         }
         for (job in order) job.unwritten.endWaitIfEmpty()
         return records.size
--- a/src/test/kotlin/mintfield/core/RepeatedDirectStartTest.kt
+++ b/src/test/kotlin/mintfield/core/RepeatedDirectStartTest.kt
@@ -134,6 +134,16 @@
         assertRepetitionStartsNothing()
     }
 
+    @Test
+    fun `every later leader, also one of an earlier version, has a term above the tokens that workers have seen`() {
+        startAndEnd(Ending.FAILED)
+        leader.run(3_000)
+        val highestSeen = leader.workers.maxOf { it.term }
+        assertTrue(highestSeen > leader.scheduler.cluster.firstTerm, "no token was raised")
+        leader.failOver()
+        assertTrue(leader.scheduler.cluster.firstTerm > highestSeen)
+    }
+
     @Test
     fun `the worker forgets no attempt while a direct call is on its way`() {
         worker.failsTasksUntilMs = Long.MAX_VALUE
--- a/src/test/kotlin/mintfield/loopback/RepeatedMessagesEndToEndTest.kt
+++ b/src/test/kotlin/mintfield/loopback/RepeatedMessagesEndToEndTest.kt
@@ -1,5 +1,6 @@
 package mintfield.loopback
 
+import mintfield.io.json.string
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -76,6 +77,17 @@
         assertTrue(repeated > STEPS, "only $repeated commands arrived again")
     }
 
+    @Test
+    fun `transactions that arrive again start no task twice, none of a cancelled job and none above a quota`() {
+        cluster.faults.repeatTransactionsAfterMs = DELAYS_MS
+        run()
+        assertTrue(cluster.faults.repeatedTransactions > STEPS, "only ${cluster.faults.repeatedTransactions} transactions arrived again")
+        for (step in 1..STEPS) {
+            val id = "wk-%06d".format(step)
+            await("$id has ended") { ask("GET", "/v1/jobs/$id")?.json?.string("stage") in setOf("done", "withdrawn") }
+        }
+    }
+
     private companion object {
         const val MACHINES = 4
         const val STEPS = 20
--- a/src/test/kotlin/mintfield/sim/RepeatedMessagesTest.kt
+++ b/src/test/kotlin/mintfield/sim/RepeatedMessagesTest.kt
@@ -1,6 +1,7 @@
 package mintfield.sim
 
 import mintfield.Fixtures
+import mintfield.core.LeaderRecord
 import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
 import mintfield.core.model.Shape
@@ -39,6 +40,33 @@
         assertTrue(repeated > SEEDS * MIN_REPETITIONS, "only $repeated commands arrived again in $SEEDS simulations")
     }
 
+    @Test
+    fun `no task runs twice and no deleted record is back when transactions that were answered arrive again`() {
+        var repeated = 0
+        for (seed in 1..SEEDS) {
+            val transactions = simulate(seed) { transactions.repeatedFraction = 0.5 }.transactions
+            assertEquals(emptyList<LeaderRecord>(), transactions.recreated, "seed $seed: records created again")
+            repeated += transactions.repeated
+        }
+        assertTrue(repeated > SEEDS * MIN_REPETITIONS, "only $repeated transactions arrived again in $SEEDS simulations")
+    }
+
+    @Test
+    fun `an earlier version that replays by revision applies the round records in the order of their keys`() {
+        for (seed in 1..SEEDS / 4) {
+            simulate(seed) {
+                transactions.repeatedFraction = 0.5
+                for (second in 1..100) at(second * 1_000L) { assertInOrderOfKeys(seed) }
+            }
+        }
+    }
+
+    private fun SimulatedCluster.assertInOrderOfKeys(seed: Int) {
+        for ((earlier, later) in roundKeysByRevision.zipWithNext()) {
+            assertTrue(earlier.max() < later.min(), "seed $seed: $earlier has a lower revision than $later")
+        }
+    }
+
     private companion object {
         const val SEEDS = 60
         const val DURATION_MS = 400_000L
--- a/src/test/kotlin/mintfield/sim/SimulatedCluster.kt
+++ b/src/test/kotlin/mintfield/sim/SimulatedCluster.kt
@@ -1,5 +1,6 @@
 package mintfield.sim
 
+import mintfield.core.jobs.RoundKey
 import mintfield.core.model.JobPhase
 import mintfield.core.model.JobSpec
 import mintfield.core.model.TaskId
@@ -51,6 +52,14 @@
     /** Jobs that have neither ended nor been cancelled. */
     val unfinishedJobs: Set<String> get() = store.jobs.filter { !it.value.cancelled }.keys
 
+    /** Keys of the round records, in the order of their revisions, in which versions before [RoundKey] replay them; one list for each transaction. */
+    val roundKeysByRevision: List<List<RoundKey>>
+        get() =
+            store.rounds.entries
+                .groupBy { it.value.revision }
+                .toSortedMap()
+                .map { (revision, rounds) -> rounds.map { RoundKey.parse(it.key, revision) } }
+
     /** Jobs whose record the store still contains. */
     val recordedJobs: Set<String> get() = store.jobs.keys
 
--- a/src/test/kotlin/mintfield/sim/SimulatedStore.kt
+++ b/src/test/kotlin/mintfield/sim/SimulatedStore.kt
@@ -3,6 +3,7 @@
 import mintfield.Fixtures
 import mintfield.core.Commit
 import mintfield.core.CommitResult
+import mintfield.core.LeaderRecord
 import mintfield.core.ScaleOutIntent
 import mintfield.core.Write
 import mintfield.core.fleet.ZoneFence
@@ -112,6 +113,14 @@
         return found
     }
 
+    /** Whether [record] exists. */
+    operator fun contains(record: LeaderRecord): Boolean =
+        when (record) {
+            is LeaderRecord.Round -> record.key in rounds
+            is LeaderRecord.Intent -> record.idempotencyKey in intents
+            is LeaderRecord.Fence -> record.key in zoneFences
+        }
+
     /** Applies the transaction [commit] of [leader] if the leader key and the jobs have the expected revisions. */
     fun apply(
         leader: SimulatedLeader,
@@ -121,6 +130,7 @@
         if (!serves(leader) || commit.term != term) return CommitResult.Refused
         val changed = guardRevisions.filter { (id, revision) -> jobs[id]?.revision != revision }.keys
         if (changed.isNotEmpty() && !context.defects.ignorePreconditions) return CommitResult.Conflict(changed)
+        if (commit.writes.any { it is Write.RecordRound && it.key in rounds }) return CommitResult.Conflict(emptySet())
         val commitRevision = ++revision
         for (write in commit.writes) apply(leader, write, commitRevision)
         return CommitResult.Done(commitRevision)
