--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -32,17 +32,12 @@
     val connectionLimits = ConnectionLimits(settings)
     val quotas = TeamQuotas(settings)
     val commandCounters = CommandCounters()
+    val tokens = FencingTokens(firstTerm, ownership, commandCounters)
 
     /** The leader's current term: the revision of the leader key. */
     var term = firstTerm
         private set
 
-    /**
-     * The highest revision of the store at which the leader key is known to have been unchanged. Each later leader writes the key after
-     * it, so a token up to this revision is lower than all tokens of later leaders.
-     */
-    var confirmedRevision = firstTerm
-        private set
     val runTimes = RunTimes()
 
     /** The machine types that the cloud offers, by name. */
@@ -69,10 +64,6 @@
     var planningSuspendedUntilMs = 0L
         private set
 
-    /** Whether the token of a machine must rise above [confirmedRevision]. */
-    var termRaiseRequested = false
-        private set
-
     /** Sets [roundRequested], as a job has become ready. */
     fun requestRound() {
         roundRequested = true
@@ -93,45 +84,10 @@
         planningSuspendedUntilMs = untilMs
     }
 
-    /** Sets [termRaiseRequested]. */
-    fun requestTermRaise() {
-        termRaiseRequested = true
-    }
-
     /** Adopts [newTerm], the revision at which the leader key was rewritten. */
     fun termRaised(newTerm: Long) {
         term = newTerm
-        leadershipConfirmed(newTerm)
-    }
-
-    /** Adopts [revision], at which a transaction with the leader key at [term] as its precondition was applied. */
-    fun leadershipConfirmed(revision: Long) {
-        confirmedRevision = maxOf(confirmedRevision, revision)
-        termRaiseRequested = false
-    }
-
-    /**
-     * The fencing token of commands to [machine]: the term at the election, the machine's ownership epoch, or the revision to which
-     * [fenceDirectStarts] raised it, whichever is highest.
-     */
-    fun token(machine: Machine): Long = maxOf(firstTerm, machine.lease.token)
-
-    /** The highest token that this leader may have sent to the machine [id]. A worker that has seen a higher one obeys another leader. */
-    fun highestToken(id: String): Long = maxOf(confirmedRevision, ownership.epoch(id))
-
-    /**
-     * Whether the token of [machine] is above those of all direct starts sent to it, so that a worker which sees it refuses copies of them.
-     * If it is not, raises it to [confirmedRevision], or requests a higher term if that does not suffice.
-     */
-    fun fenceDirectStarts(machine: Machine): Boolean {
-        val lease = machine.lease
-        if (token(machine) <= lease.directStartToken && confirmedRevision > lease.directStartToken) {
-            lease.raiseToken(confirmedRevision)
-            commandCounters.tokenRaised()
-        }
-        if (token(machine) > lease.directStartToken) return true
-        requestTermRaise()
-        return false
+        tokens.leadershipConfirmed(newTerm)
     }
 
     /** Whether [machine] has seen a token that only this leader issues. No other controller can have renewed its lease since then. */
--- a/src/main/kotlin/mintfield/core/CommitPlanner.kt
+++ b/src/main/kotlin/mintfield/core/CommitPlanner.kt
@@ -60,7 +60,7 @@
     }
 
     /** Whether a machine waits for a higher token. The revision of any other transaction provides one as well. */
-    private fun isRaiseDue(nowMs: Long): Boolean = cluster.termRaiseRequested && nowMs - lastRaiseMs >= LeadershipConstants.MIN_TERM_RAISE_INTERVAL_MS
+    private fun isRaiseDue(nowMs: Long): Boolean = cluster.tokens.raiseRequested && nowMs - lastRaiseMs >= LeadershipConstants.MIN_TERM_RAISE_INTERVAL_MS
 
     /**
      * Whether records that are to be deleted were created in the current term. The lifting of a fence does not wait for the next raise, as
@@ -148,7 +148,7 @@
     ) {
         when (result) {
             is CommitResult.Done -> {
-                cluster.leadershipConfirmed(result.revision)
+                cluster.tokens.leadershipConfirmed(result.revision)
                 deletions.onApplied(commit)
                 commit.writes.forEach { onWritten(it, result.revision, nowMs) }
             }
--- a/src/main/kotlin/mintfield/core/HeartbeatService.kt
+++ b/src/main/kotlin/mintfield/core/HeartbeatService.kt
@@ -49,7 +49,7 @@
         cancellationsToMs: Long,
     ): HeartbeatResponse {
         if (!ownership.owns(heartbeat.machine)) return HeartbeatResponse.NotOwner
-        if (heartbeat.termSeen > cluster.highestToken(heartbeat.machine)) return HeartbeatResponse.Deposed
+        if (heartbeat.termSeen > cluster.tokens.highest(heartbeat.machine)) return HeartbeatResponse.Deposed
         if (!zoneFencing.mayRespondTo(heartbeat.machine)) return HeartbeatResponse.ZoneFenced
         val mayRenew = leaseRenewalLimit.allows(nowMs - cancellationsToMs)
         if (!replay.isComplete) return respondDuringReplay(heartbeat, mayRenew, nowMs)
@@ -83,7 +83,7 @@
         if (!isNewest || !mayAct) return stopsOnly(heartbeat)
         // The planner may raise the token, and the commands rely on the higher one.
         val commands = commandPlanner.commands(machine, viaHeartbeat = true, nowMs)
-        return HeartbeatResponse.Commands(cluster.token(machine), commands)
+        return HeartbeatResponse.Commands(cluster.tokens.of(machine), commands)
     }
 
     /**
@@ -101,7 +101,7 @@
     /** The fencing token of responses to [heartbeat] without commands that depend on its height. */
     private fun token(heartbeat: Heartbeat): Long {
         val machine = cluster.machines[heartbeat.machine]
-        return if (machine == null) maxOf(heartbeat.termSeen, cluster.firstTerm, ownership.epoch(heartbeat.machine)) else cluster.token(machine)
+        return if (machine == null) maxOf(heartbeat.termSeen, cluster.firstTerm, ownership.epoch(heartbeat.machine)) else cluster.tokens.of(machine)
     }
 
     private fun knownMachine(
--- a/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
@@ -37,14 +37,14 @@
         val heartbeat = machine.lastHeartbeat ?: return emptyList()
         if (viaHeartbeat && machine.lease.hasUnansweredStart) refusesDirectStarts(machine)
         if (machine.occupancy.reconciled) {
-            if (viaHeartbeat) machine.reachability.recordResponse(cluster.token(machine), emptyList())
+            if (viaHeartbeat) machine.reachability.recordResponse(cluster.tokens.of(machine), emptyList())
             return emptyList()
         }
         val builder = CommandListBuilder(machine, heartbeat, viaHeartbeat, nowMs)
         heartbeat.tasks.forEach(builder::addForReported)
         val started = builder.addStarts()
         builder.reportUnplannedTasks()
-        if (viaHeartbeat) machine.reachability.recordResponse(cluster.token(machine), started)
+        if (viaHeartbeat) machine.reachability.recordResponse(cluster.tokens.of(machine), started)
         if (!builder.commands.isEmpty) return builder.commands.inOrder()
         machine.occupancy.markReconciled(builder.heartbeatMatchesPlan())
         return emptyList()
@@ -165,7 +165,7 @@
      * Whether the worker of [machine] refuses late copies of all direct starts once it has received the response, whose token is raised if
      * need be. Otherwise it must not forget attempts: the copy of the start of a forgotten attempt would run it again.
      */
-    private fun refusesDirectStarts(machine: Machine) = !machine.directRoute.inFlight && cluster.fenceDirectStarts(machine)
+    private fun refusesDirectStarts(machine: Machine) = !machine.directRoute.inFlight && cluster.tokens.fenceDirectStarts(machine)
 
     /** Whether a worker may forget the exit of a task that is not planned on it. A success may be forgotten only once the store records it. */
     private fun mayAcknowledge(
--- a/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/DirectCallPlanner.kt
@@ -87,7 +87,7 @@
         val starts = commands.filterIsInstance<WorkerCommand.Start>()
         if (starts.isEmpty()) return null
         machine.directRoute.callStarted()
-        val call = DirectCall(machine.id, address, cluster.token(machine), machine.incarnation, commands)
+        val call = DirectCall(machine.id, address, cluster.tokens.of(machine), machine.incarnation, commands)
         machine.lease.recordDirectStart(call.term)
         logStarts(call, starts)
         return call
@@ -110,7 +110,7 @@
         val address = machine.heartbeats.address ?: return null
         machine.directRoute.callStarted()
         machine.directRoute.pauseUntil(nowMs + WorkerConstants.UNREACHABLE_PROBE_MS)
-        return DirectCall(machine.id, address, cluster.token(machine), machine.incarnation, emptyList())
+        return DirectCall(machine.id, address, cluster.tokens.of(machine), machine.incarnation, emptyList())
     }
 
     /** Handles the response of the worker to [call]; [heartbeat] is null if the response could not be decoded. */
