--- a/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
+++ b/src/main/kotlin/mintfield/core/jobs/HeartbeatReconciler.kt
@@ -129,7 +129,7 @@
         for (attempt in machine.attempts.toList()) {
             val status = reported[cluster.taskId(attempt)]
             if (status != null && status.attempt == attempt.number) {
-                reconcileReported(attempt, status, nowMs)
+                if (status.provesItself(machine, heartbeat)) reconcileReported(attempt, status, nowMs)
             } else if (viaHeartbeat) {
                 reconcileMissing(attempt, provesAbsence, nowMs)
             }
@@ -139,6 +139,15 @@
         }
     }
 
+    /**
+     * Whether the status may be relied on. A late copy of a heartbeat from before the election may show an end, other than a success,
+     * after which an earlier leader had the worker forget the attempt and start it again.
+     */
+    private fun TaskStatus.provesItself(
+        machine: Machine,
+        heartbeat: Heartbeat,
+    ): Boolean = state != TaskState.ENDED || cause == ExitReason.DONE || heartbeat.termSeen >= machine.lease.requiredTerm
+
     /**
      * Processes the status of [attempt] as reported by the leader of another shard that owns the machine of the attempt: [status], or
      * null if the heartbeat lacks the attempt. The worker has seen the owner's fencing token, so it no longer carries out any start sent
--- a/src/test/kotlin/mintfield/core/RepeatedDirectStartTest.kt
+++ b/src/test/kotlin/mintfield/core/RepeatedDirectStartTest.kt
@@ -158,9 +158,25 @@
         assertEquals(2, attemptsOfJob().size)
     }
 
+    @Test
+    fun `exits of direct starts are acknowledged at once, so that they do not fill the heartbeats of a machine with short tasks`() {
+        worker.slots = SLOTS
+        for (i in 1..40) leader.submit(Fixtures.spec("wk-${100 + i}", tasks = 5))
+        var mostEnded = 0
+        repeat(120) {
+            leader.run(500)
+            mostEnded = maxOf(mostEnded, leader.workers.maxOf { each -> each.tasks.count { it.value.exitReason != null } })
+        }
+        assertTrue(leader.answeredCalls.size > 20, "only ${leader.answeredCalls.size} direct calls")
+        assertTrue(mostEnded <= SLOTS, "$mostEnded ended tasks in a heartbeat")
+    }
+
     private companion object {
         const val JOB = "wk-1"
 
+        /** CPUs of a machine, and thus tasks that it holds at a time. */
+        const val SLOTS = 4
+
         /** Longer than any task runs. */
         const val LONGEST_RUN_MS = 9_000L
 
