--- a/src/test/kotlin/mintfield/sim/SimulationTest.kt
+++ b/src/test/kotlin/mintfield/sim/SimulationTest.kt
@@ -32,6 +32,8 @@
         var starts = 0
         for (seed in 1..60) {
             val cluster = createCluster(seed)
+            cluster.network.repeatedCallFraction = REPEATED_FRACTION
+            cluster.transactions.repeatedFraction = REPEATED_FRACTION
             try {
                 cluster.run(SimulatedCluster.DURATION_MS)
             } catch (e: RuleViolation) {
@@ -124,4 +126,9 @@
     fun `a leader that finishes jobs too early is detected`() {
         assertTrue(violationWith(InjectedDefects(finishEarly = true)).message!!.startsWith("not_done"))
     }
+
+    private companion object {
+        /** Fraction of the answered direct commands, and of the answered transactions, that arrive once more. */
+        const val REPEATED_FRACTION = 0.1
+    }
 }
