--- a/src/main/kotlin/mintfield/core/constants/LeadershipConstants.kt
+++ b/src/main/kotlin/mintfield/core/constants/LeadershipConstants.kt
@@ -23,10 +23,10 @@
     /** Size of the range of attempt numbers of a term. The range starts at the term multiplied by this size. No term has as many rounds. */
     const val ATTEMPTS_PER_TERM = 65_536L
 
-    /** Minimum time between two raises of the term. Each costs a write and a heartbeat from every worker. */
+    /** Minimum time between two raises of the term that machines request because no other transaction provides a higher token. */
     const val MIN_TERM_RAISE_INTERVAL_MS = 2_000L
 
-    /** Minimum time between a raise of the term and the next one that permits the deletion of obsolete records. A new leader has to read the remaining ones. */
+    /** Minimum time between a raise of the term and one that permits the deletion of obsolete records. A new leader has to read the remaining ones. */
     const val GARBAGE_TERM_RAISE_INTERVAL_MS = 10_000L
 
     /** Time after startup for which the client port stays closed while no leader is known. It is longer than an election takes. */
