--- a/src/main/kotlin/mintfield/core/fleet/Reachability.kt
+++ b/src/main/kotlin/mintfield/core/fleet/Reachability.kt
@@ -44,7 +44,7 @@
         return true
     }
 
-    /** Records a response to a heartbeat with [term] and the starts of [attempts]. */
+    /** Records a response to a heartbeat with the starts of [attempts], after which the worker must have seen at least [term]. */
     fun recordResponse(
         term: Long,
         attempts: List<Attempt>,
--- a/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
+++ b/src/main/kotlin/mintfield/core/jobs/CommandPlanner.kt
@@ -37,14 +37,14 @@
         val heartbeat = machine.lastHeartbeat ?: return emptyList()
         if (viaHeartbeat && machine.lease.hasUnansweredStart) refusesDirectStarts(machine)
         if (machine.occupancy.reconciled) {
-            if (viaHeartbeat) machine.reachability.recordResponse(cluster.tokens.of(machine), emptyList())
+            if (viaHeartbeat) machine.reachability.recordResponse(machine.lease.requiredTerm, emptyList())
             return emptyList()
         }
         val builder = CommandListBuilder(machine, heartbeat, viaHeartbeat, nowMs)
         heartbeat.tasks.forEach(builder::addForReported)
         val started = builder.addStarts()
         builder.reportUnplannedTasks()
-        if (viaHeartbeat) machine.reachability.recordResponse(cluster.tokens.of(machine), started)
+        if (viaHeartbeat) machine.reachability.recordResponse(machine.lease.requiredTerm, started)
         if (!builder.commands.isEmpty) return builder.commands.inOrder()
         machine.occupancy.markReconciled(builder.heartbeatMatchesPlan())
         return emptyList()
