--- a/src/main/kotlin/mintfield/core/FencingTokens.kt
+++ b/src/main/kotlin/mintfield/core/FencingTokens.kt
@@ -9,7 +9,7 @@
  * has seen.
  *
  * Tokens are revisions of the store. A token is at least the term at the election and the machine's ownership epoch, and at most
- * [confirmedRevision]. Within these bounds it rises when the worker must refuse late copies of earlier commands. Not thread-safe, like
+ * that of [highest]. Within these bounds it rises when the worker must refuse late copies of earlier commands. Not thread-safe, like
  * [Cluster].
  */
 class FencingTokens(
