--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -1,66 +1,56 @@
-import java.util.List;
 import java.util.Map;
 
-/** A job that names a job which was cancelled long ago, submitted at a controller that has been asked nothing since. */
+/** An array whose tasks failed on a machine while that machine was faulty, and which is never placed on it again. */
 final class Case4 {
+    private static final double WAIT_S = 90;
+
     private Case4() {}
 
     public static void main(String[] args) {
         Platform.Site site = new Platform.Site();
         Jobs jobs = new Jobs(site.cancelS);
+        jobs.cpusMax.put("folha-ops", 400.0);
         Platform platform = new Platform(site, jobs);
         Case.run(args, jobs, () -> play(platform, jobs));
     }
 
     private static boolean play(Platform platform, Jobs jobs) {
+        // Four machines of 16 CPUs, and then a fifth, which is all that the cloud has.
         if (!Case.startAll(platform, 4)) return false;
-        Http.sleep(2_000);
-        String leader = platform.leader();
-        List<String> others = platform.members.stream().filter(member -> !member.equals(leader)).toList();
-        String first = others.get(0);
-        String second = others.get(1);
-        Record.say("leader " + leader + ", the user's node " + first + ", later " + second);
-
-        // The user submits the first job of the pipeline and asks about it, over a connection to one node.
+        Http.sleep(1_000);
         User user = new User(platform, "user");
-        Jobs.Job import1 = jobs.add(Jobs.sweep("wk-000001", "folha-ops", "timesheet-import", 2, 100), 100);
-        Http.Answer accepted = user.submitUntilAnswered(first, import1);
-        if (accepted == null || accepted.status() != 201) return false;
-        for (int i = 0; i < 20 && !user.poll(first, import1.id).stage().equals("running"); i++) Http.sleep(500);
-        if (!user.poll(first, import1.id).stage().equals("running")) return false;
+        if (!Case.fill(platform, jobs, user, 16)) return false;
+        Worker free = platform.addMachine("desk-node", platform.site.zones.get(0), false);
+        Http.sleep(2_500);
 
-        // Disruption: the user's node crashes and is back 4 s later. The user's connection is gone, the load balancer has given the user
-        // another node, and there the user calls the job off.
-        String node = first;
+        // Disruption: the machine that is left fails every task that it starts, for 12 s.
+        if (Case.TROUBLE) {
+            free.sick = true;
+            Record.say(free.id + " fails every task that it starts");
+        }
+        Jobs.Job array = jobs.add(Jobs.sweep("wk-000100", "folha-ops", "payslip-calc", 4, 5), 5);
+        Http.Answer accepted = user.submitUntilAnswered("plot-1", array);
+        if (accepted == null || accepted.status() != 201) return false;
         if (Case.TROUBLE) {
-            platform.kill(first);
-            node = second;
-            Record.say("poll at " + node + ": " + user.poll(node, import1.id));
-            Http.sleep(4_000);
-            platform.start(first);
-            if (!platform.awaitReady(20_000, first)) return false;
-            Http.sleep(3_000);
+            Http.sleep(12_000);
+            free.sick = false;
+            Record.say(free.id + " is sound again");
         }
-        Http.Answer aborted = user.abort(node, import1);
-        for (int i = 0; i < 20 && !aborted.stage().equals("withdrawn"); i++) {
-            Http.sleep(1_000);
-            aborted = user.abort(node, import1);
+        double from = Record.seconds();
+        Jobs.Job other = null;
+        while (Record.seconds() < from + WAIT_S && jobs.running(array.id) == 0 && array.done.isEmpty()) {
+            Http.sleep(500);
+            if (other == null && Record.seconds() > from + 60) {
+                // Another job of the same kind shows that the machine has room and takes work.
+                other = jobs.add(Jobs.sweep("wk-000101", "folha-ops", "payslip-calc", 4, 2), 2);
+                user.submitUntilAnswered("plot-1", other);
+            }
         }
-        if (!aborted.stage().equals("withdrawn")) return false;
-        Record.say("told at " + node + " that " + import1.id + " is cancelled");
-        // After cancel_s the user submits the next job of the pipeline, over a new connection to the first node.
-        while (Record.seconds() < import1.cancelledAt + platform.site.cancelS + 3) Http.sleep(200);
-        Map<String, Object> body = Jobs.sweep("wk-000002", "folha-ops", "payslip-calc", 2, 10);
-        body.put("awaits", List.of(import1.id));
-        Jobs.Job next = jobs.add(body, 10);
-        double sentAt = Record.seconds();
-        Http.Answer answer = new User(platform, "user").submitUntilAnswered(first, next);
-        if (answer == null) return false;
-        Record.say("submission of " + next.id + " at " + first + ", " + String.format("%.1f", sentAt - import1.cancelledAt) + " s after: " + answer);
-        if (answer.status() != 200 && answer.status() != 201) return false;
-        if (answer.stage().equals("pending") || answer.stage().equals("running"))
-            jobs.breakRule("orphaned", next.id + " is called " + answer.stage() + " " + String.format("%.1f", sentAt - import1.cancelledAt) + " s after its user was told that " + import1.id + " is cancelled");
-        for (String member : platform.members) Record.say("poll at " + member + ": " + new User(platform, "user").poll(member, next.id));
+        Record.say("after " + String.format("%.1f", Record.seconds() - from) + " s: " + jobs.running(array.id) + " tasks run, " + array.done.size() + " are done");
+        if (other != null) Record.say("of the same job, submitted 60 s later, " + other.done.size() + " of 4 tasks are done on " + free.id);
+        Record.say("poll: " + user.poll("plot-1", array.id));
+        if (jobs.running(array.id) == 0 && array.done.isEmpty())
+            jobs.breakRule("waits", array.id + " has waited " + WAIT_S + " s since the trouble was over, while " + free.id + " is sound and has " + (16 - jobs.cpusOn(free)) + " of 16 CPUs free");
         return true;
     }
 }
