--- a/review/4/Case4.java
+++ b/review/4/Trial4.java
@@ -1,37 +1,37 @@
 import java.util.Map;
 
 /** An array whose tasks failed on a machine while that machine was faulty, and which is never placed on it again. */
-final class Case4 {
+final class Trial4 {
     private static final double WAIT_S = 90;
 
-    private Case4() {}
+    private Trial4() {}
 
     public static void main(String[] args) {
         Platform.Site site = new Platform.Site();
         Jobs jobs = new Jobs(site.cancelS);
         jobs.cpusMax.put("folha-ops", 400.0);
         Platform platform = new Platform(site, jobs);
-        Case.run(args, jobs, () -> play(platform, jobs));
+        Trial.run(args, jobs, () -> play(platform, jobs));
     }
 
     private static boolean play(Platform platform, Jobs jobs) {
         // Four machines of 16 CPUs, and then a fifth, which is all that the cloud has.
-        if (!Case.startAll(platform, 4)) return false;
+        if (!Trial.startAll(platform, 4)) return false;
         Http.sleep(1_000);
         User user = new User(platform, "user");
-        if (!Case.fill(platform, jobs, user, 16)) return false;
+        if (!Trial.fill(platform, jobs, user, 16)) return false;
         Worker free = platform.addMachine("desk-node", platform.site.zones.get(0), false);
         Http.sleep(2_500);
 
         // Disruption: the machine that is left fails every task that it starts, for 6 s.
-        if (Case.TROUBLE) {
+        if (Trial.TROUBLE) {
             free.sick = true;
             Record.say(free.id + " fails every task that it starts");
         }
         Jobs.Job array = jobs.add(Jobs.sweep("wk-000100", "folha-ops", "payslip-calc", 4, 5), 5);
         Http.Answer accepted = user.submitUntilAnswered("plot-1", array);
         if (accepted == null || accepted.status() != 201) return false;
-        if (Case.TROUBLE) {
+        if (Trial.TROUBLE) {
             Http.sleep(6_000);
             free.sick = false;
             Record.say(free.id + " is sound again");
--- a/review/5/Case5.java
+++ b/review/5/Trial5.java
@@ -2,32 +2,32 @@
 import java.util.TreeMap;
 
 /** An array that fits on a machine which has room, and is never started, since that room is kept for replicas that nobody asks for. */
-final class Case5 {
+final class Trial5 {
     private static final int REPLICAS = 15;
     private static final double WAIT_S = 90;
 
-    private Case5() {}
+    private Trial5() {}
 
     public static void main(String[] args) {
         Platform.Site site = new Platform.Site();
         Jobs jobs = new Jobs(site.cancelS);
         jobs.cpusMax.put("folha-ops", 400.0);
         Platform platform = new Platform(site, jobs);
-        Case.run(args, jobs, () -> play(platform, jobs));
+        Trial.run(args, jobs, () -> play(platform, jobs));
     }
 
     private static boolean play(Platform platform, Jobs jobs) {
         // Four machines of 16 CPUs, and then a fifth, which is all that the cloud has.
-        if (!Case.startAll(platform, 4)) return false;
+        if (!Trial.startAll(platform, 4)) return false;
         Http.sleep(1_000);
         User user = new User(platform, "user");
-        if (!Case.fill(platform, jobs, user, REPLICAS)) return false;
+        if (!Trial.fill(platform, jobs, user, REPLICAS)) return false;
         Worker fifth = platform.addMachine("desk-node", platform.site.zones.get(0), false);
         Http.sleep(2_500);
         Record.say("CPUs used: " + used(platform, jobs));
 
         // Disruption: the machine that came last stops. No task is on it.
-        if (Case.TROUBLE) {
+        if (Trial.TROUBLE) {
             synchronized (platform) {
                 fifth.die("machine stopped");
             }
--- a/review/7/Case7.java
+++ b/review/7/Trial7.java
@@ -2,18 +2,18 @@
 import java.util.Map;
 
 /** A job that names a job which was cancelled long ago, submitted at a controller that has been asked nothing since. */
-final class Case7 {
-    private Case7() {}
+final class Trial7 {
+    private Trial7() {}
 
     public static void main(String[] args) {
         Platform.Site site = new Platform.Site();
         Jobs jobs = new Jobs(site.cancelS);
         Platform platform = new Platform(site, jobs);
-        Case.run(args, jobs, () -> play(platform, jobs));
+        Trial.run(args, jobs, () -> play(platform, jobs));
     }
 
     private static boolean play(Platform platform, Jobs jobs) {
-        if (!Case.startAll(platform, 4)) return false;
+        if (!Trial.startAll(platform, 4)) return false;
         Http.sleep(2_000);
         String leader = platform.leader();
         List<String> others = platform.members.stream().filter(member -> !member.equals(leader)).toList();
@@ -32,7 +32,7 @@
         // Disruption: the user's node crashes and is back 4 s later. The user's connection is gone, the load balancer has given the user
         // another node, and there the user calls the job off.
         String node = first;
-        if (Case.TROUBLE) {
+        if (Trial.TROUBLE) {
             platform.kill(first);
             node = second;
             Record.say("poll at " + node + ": " + user.poll(node, import1.id));
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -Xlint:all -Werror -d target/review-2 review/standin-2/*.java $(ls review/[4-8]/*.java 2>/dev/null || true)
+javac -Xlint:all -Werror -d target/review-2 review/standin-2/*.java $(ls review/[4-8]/Trial*.java 2>/dev/null || true)
--- a/review/standin-2/Case.java
+++ b/review/standin-2/Trial.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 
 /** What all cases share: the record, the verdict and the end of the processes. */
-final class Case {
+final class Trial {
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
@@ -11,7 +11,7 @@
     /** Whether the disruption takes place. */
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
-    private Case() {}
+    private Trial() {}
 
     interface Body {
         /** Plays the case; false if it could not run. */
