--- a/src/main/kotlin/mintfield/app/Controller.kt
+++ b/src/main/kotlin/mintfield/app/Controller.kt
@@ -60,7 +60,9 @@
     private val services = ExternalServices(settings, loop, group)
     private val freshnessCheckIntervalMs = (TimeUnits.MS_PER_SECOND / (settings.stateRps * StoreConstants.FRESHNESS_CHECK_FRACTION)).toLong()
     private val replicator =
-        JobReplicator(services.store, scope, freshnessCheckIntervalMs, loop::nowMs) { compatibleMachineTypes(it.spec, services.types.values) }
+        JobReplicator(services.store, scope, freshnessCheckIntervalMs, loop::nowMs, services.metrics::recordJobRead) {
+            compatibleMachineTypes(it.spec, services.types.values)
+        }
     private val cancellationWatermark = CancellationWatermark(settings.peers.map { it.member })
     private val cancellationLog = CancellationLog(Random.nextLong(), CancellationLog.Size.of(settings))
     private val cancellations = ConfirmedCancellations(cancellationLog, cancellationWatermark, ::notifyLeadersOfCancellation)
@@ -82,7 +84,7 @@
     private val userWrites = UserWriteBatcher(loop, scope, services.store, services.stateLimits)
     private val versions = VersionRecords(settings, services.store, loop)
     private val statuses = JobStatusService(services.store, replicator, progress::of, ::cancellationConfirmed, health::isStoreUnreachable)
-    private val predecessors = PredecessorLookup(services.store, replicator)
+    private val predecessors = PredecessorLookup(services.store, replicator, loop::nowMs)
     private val admission = JobAdmission(settings.teams) { services.types.values }
     private val submissions =
         JobSubmissionService(admission, replicator, statuses, userWrites, predecessors, versions, services.stateLimits, health::isStoreUnreachable)
--- a/src/main/kotlin/mintfield/app/Metrics.kt
+++ b/src/main/kotlin/mintfield/app/Metrics.kt
@@ -13,6 +13,7 @@
     private val accepts = Series("accept")
     private val polls = Series("poll")
     private val commits = Series("commit")
+    private val jobReads = Series("job read")
 
     /** Records the time from the arrival of a submission to its response. */
     fun recordSubmission(ms: Long) = record(accepts, ms)
@@ -23,6 +24,9 @@
     /** Records the time from the sending of a commit to its response or failure. */
     fun recordCommit(ms: Long) = record(commits, ms)
 
+    /** Records the time from the sending of a read of the jobs on behalf of users to its response or failure. */
+    fun recordJobRead(ms: Long) = record(jobReads, ms)
+
     private fun record(
         series: Series,
         ms: Long,
@@ -30,7 +34,7 @@
 
     /** Formats the durations since the last summary as `accept n=3 p50=12 p99=40 max=40 ms, ...`, or as an empty string without any, and resets them. */
     fun takeSummary(): String =
-        listOf(accepts, polls, commits).filter { it.histogram.totalCount > 0 }.joinToString(", ") { series ->
+        listOf(accepts, polls, commits, jobReads).filter { it.histogram.totalCount > 0 }.joinToString(", ") { series ->
             val histogram = series.histogram
             val median = histogram.getValueAtPercentile(MEDIAN)
             val tail = histogram.getValueAtPercentile(TAIL)
--- a/src/main/kotlin/mintfield/app/api/PredecessorLookup.kt
+++ b/src/main/kotlin/mintfield/app/api/PredecessorLookup.kt
@@ -4,6 +4,7 @@
 import mintfield.core.jobs.KnownJob
 import mintfield.core.model.JobPhase
 import mintfield.core.model.Shape
+import mintfield.io.loop.Log
 import mintfield.io.store.FinalStateCodec
 import mintfield.io.store.Keys
 import mintfield.io.store.StoreClient
@@ -14,6 +15,7 @@
 class PredecessorLookup(
     private val store: StoreClient,
     private val replicator: JobReplicator,
+    private val nowMs: () -> Long,
 ) {
     /** Classifies the jobs [ids]. An accepted job remains accepted, so the replica must be brought up to date only if it lacks one of them. */
     suspend fun find(ids: List<String>): Predecessors {
@@ -39,6 +41,7 @@
     }
 
     private fun classify(ids: List<String>): Predecessors {
+        Log.info("predecessors $ids: ${ids.map(::describe)} as of ${replicator.currentAtMs?.let { nowMs() - it }} ms ago")
         val known = ids.associateWith { replicator.known(it) ?: return Predecessors.NeverAccepted(it) }
         known.entries.firstOrNull { isService(it.value) }?.let { return Predecessors.Service(it.key) }
         return Predecessors.Accepted(
@@ -47,6 +50,14 @@
         )
     }
 
+    private fun describe(id: String): String =
+        when (val job = replicator.known(id)) {
+            is KnownJob.Ended -> job.state.phase.name
+            is KnownJob.Live -> if (isCancelled(id, job)) "being cancelled" else "unfinished"
+            KnownJob.Unreadable -> "unreadable"
+            null -> "never accepted"
+        }
+
     private fun isService(job: KnownJob) = job is KnownJob.Live && job.job.spec.shape == Shape.SERVICE
 
     private fun isDone(job: KnownJob) = job is KnownJob.Ended && job.state.phase == JobPhase.DONE
--- a/src/main/kotlin/mintfield/app/replica/JobReplicator.kt
+++ b/src/main/kotlin/mintfield/app/replica/JobReplicator.kt
@@ -23,13 +23,15 @@
     /** Time between two freshness checks on behalf of users, in milliseconds. */
     checkGapMs: Long,
     private val nowMs: () -> Long,
+    /** Called with the duration of each read of the store on behalf of users, in milliseconds. */
+    private val onUserRead: (Long) -> Unit,
     recomputeCompatibleTypes: (AcceptedJob) -> List<String>,
 ) {
     private enum class CatchUp { CURRENT, HISTORY_LOST, NO_RESPONSE }
 
     private val replica = JobReplica()
     private val reader = JobRecordReader(replica, recomputeCompatibleTypes)
-    private val freshness = FreshnessCheck(scope, checkGapMs, ::check)
+    private val freshness = FreshnessCheck(scope, checkGapMs, ::timedCheck)
     private val predecessors = PredecessorResolver(store, scope, replica)
 
     /** The unfinished jobs, by id. */
@@ -44,7 +46,11 @@
     /** Listeners for job changes: one for each leader in this process. */
     val listeners = LinkedHashSet<JobListener>()
 
-    /** Called with the time, in milliseconds of the monotonic clock, up to which the replica now shows every change. */
+    /** The time, in milliseconds of the monotonic clock, up to which the replica shows every change; null before the first read. */
+    var currentAtMs: Long? = null
+        private set
+
+    /** Called with the time at which a read was sent, in milliseconds of the monotonic clock, once its changes are applied. */
     var onComplete: (Long) -> Unit = {}
 
     init {
@@ -86,6 +92,11 @@
         }
     }
 
+    private suspend fun timedCheck(): Boolean {
+        val sentAtMs = nowMs()
+        return check().also { onUserRead(nowMs() - sentAtMs) }
+    }
+
     private suspend fun check(): Boolean {
         if (!isLoaded) return load()
         return when (catchUp(waitMs = 0)) {
@@ -109,10 +120,16 @@
         }
         replica.apply(changes.log.mapNotNull(reader::jobChange), changes.revision)
         predecessors.resolveAll()
-        onComplete(sentAtMs)
+        readCompleted(sentAtMs)
         return CatchUp.CURRENT
     }
 
+    /** Records that a read that was sent at [sentAtMs] was applied. Concurrent reads may complete in any order. */
+    private fun readCompleted(sentAtMs: Long) {
+        currentAtMs = maxOf(sentAtMs, currentAtMs ?: sentAtMs)
+        onComplete(sentAtMs)
+    }
+
     /** Reads all unfinished jobs; false if the store does not respond. The next watch returns the changes made after the first page. */
     private suspend fun load(): Boolean {
         val sentAtMs = nowMs()
@@ -126,7 +143,7 @@
             snapshot.complete()
         }
         predecessors.resolveAll()
-        onComplete(sentAtMs)
+        readCompleted(sentAtMs)
         return true
     }
 }
--- a/src/main/kotlin/mintfield/core/constants/PlacementConstants.kt
+++ b/src/main/kotlin/mintfield/core/constants/PlacementConstants.kt
@@ -125,6 +125,12 @@
     /** Time without a placement after which an array fetches its image on any machine that has capacity. */
     const val IMAGE_WAIT_LIMIT_MS = 30_000L
 
+    /** Time without a placement after which the log states why a job is not placed. */
+    const val STALL_REPORT_AFTER_MS = 60_000L
+
+    /** Minimum interval between two log lines on jobs that are not placed. */
+    const val STALL_REPORT_INTERVAL_MS = 30_000L
+
     /** Weight of a job's first measured task in the ratio of run time to estimate of its class. */
     const val RUN_TIME_RATIO_WEIGHT = 0.3
 
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -112,6 +112,9 @@
     /** When one of its tasks was last planned, in milliseconds of monotonic time. */
     var lastPlanAtMs = 0L
 
+    /** Milliseconds since one of its tasks was last planned, or since this leader first could plan one. */
+    fun placementWaitMs(nowMs: Long): Long = nowMs - maxOf(firstSeenAtMs, lastPlanAtMs)
+
     /** When a heartbeat last showed that one of its tasks had started to run, in milliseconds of monotonic time. */
     var lastRunAtMs = 0L
 
--- a/src/main/kotlin/mintfield/core/placement/ImageLocality.kt
+++ b/src/main/kotlin/mintfield/core/placement/ImageLocality.kt
@@ -75,7 +75,7 @@
      */
     fun maxFetchS(job: Job): Double {
         if (job.spec.shape != Shape.ARRAY) return Double.MAX_VALUE
-        if (nowMs - maxOf(job.firstSeenAtMs, job.lastPlanAtMs) > PlacementConstants.IMAGE_WAIT_LIMIT_MS) return Double.MAX_VALUE
+        if (job.placementWaitMs(nowMs) > PlacementConstants.IMAGE_WAIT_LIMIT_MS) return Double.MAX_VALUE
         val imageHolders = holdersFor(job)
         if (imageHolders.cpus <= 0) return Double.MAX_VALUE
         return maxOf(backlogS, imageHolders.waitingCpuS / imageHolders.cpus) + PlacementConstants.FETCH_SLACK_S
--- a/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
+++ b/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
@@ -13,6 +13,7 @@
     private val log: (String) -> Unit,
 ) {
     private val jobOrder = JobOrder(cluster)
+    private val stalledJobs = StalledJobReport(cluster, log)
 
     /**
      * Plans up to [maxTasks] tasks, only tasks of services if [replicasOnly] is set. Returns the number of planned tasks. [nowMs] is the
@@ -28,10 +29,12 @@
         val openMachines = if (waiting.isEmpty()) emptyList() else openMachines(nowMs)
         if (openMachines.isEmpty()) return 0
         val reserve = ReplicaReserve(cluster, openMachines)
+        val starvation = StarvationGuard(cluster, waiting, wallMs)
+        stalledJobs.report(waiting, openMachines, reserve, starvation, nowMs)
         val withCapacity = MachinesWithCapacity(openMachines, waiting, reserve)
         // Returns early so that the cost of a round does not grow with the number of waiting jobs while all machines are full.
         if (withCapacity.isEmpty && waiting.none { it.spec.shape != Shape.ARRAY || it.preemptionPriority < Priority.NORMAL }) return 0
-        return Run(nowMs, wallMs, maxTasks, waiting, openMachines, reserve, withCapacity).placeAll()
+        return Run(nowMs, wallMs, maxTasks, waiting, openMachines, reserve, starvation, withCapacity).placeAll()
     }
 
     private fun waitingJobs(
@@ -53,13 +56,13 @@
         private val waiting: List<Job>,
         private val openMachines: List<Machine>,
         reserve: ReplicaReserve,
+        private val starvation: StarvationGuard,
         private val withCapacity: MachinesWithCapacity,
     ) {
         private val placement = TaskPlacement(cluster, openMachines, reserve, cluster.attemptNumber(), nowMs, log)
         private val exhausted = ExhaustedSearches()
         private val gracePeriod = FailoverGracePeriod(cluster, nowMs)
         private val order = jobOrder.sorted(waiting, wallMs)
-        private val starvation = StarvationGuard(cluster, waiting, wallMs)
         private val arrayCpus = arrayCapacity(cluster)
         private val images = ImageLocality(cluster, openMachines, waiting, arrayCpus, nowMs)
         private var reservedForGang = emptySet<Machine>()
--- a/src/main/kotlin/mintfield/core/placement/TaskPlacement.kt
+++ b/src/main/kotlin/mintfield/core/placement/TaskPlacement.kt
@@ -36,41 +36,28 @@
         // A gang is placed as a whole: only after its previous attempts have ended, and only if all its tasks fit.
         if (candidates.isEmpty() || (isGang && (job.activeAttempts.isNotEmpty() || maxTasks < job.waitingCount))) return 0
         val zones = ZoneConstraint(job, openMachines)
-        val avoided = if (failedOnFew(job, zones)) job.failedOn else emptySet()
-        val fitting = candidates.filter { it.id !in avoided && mayRunOn(job, it) && zones.allows(it.zone) }
+        val filter = PlacementFilter(job, zones, openMachines, reserve)
+        val fitting = candidates.filter(filter::allows)
         val gangFits = !isGang || fitting.sumOf { taskCapacity(job.spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } >= job.waitingCount
-        val planned = if (gangFits) JobSearch(job, zones, fitting, maxTasks, maxImageRank, maxFetchS).run() else 0
+        val planned = if (gangFits) JobSearch(job, zones, filter, fitting, maxTasks, maxImageRank, maxFetchS).run() else 0
         if (!isGang || job.waitingCount <= 0) return planned
         // The estimated capacity can suffice although not all tasks can be placed, for example because of the accepted images or the zones.
         job.activeAttempts.toList().forEach { cluster.stop(it, nowMs, "no capacity for the rest of its gang") }
         return 0
     }
 
-    /** Whether [job] has failed, but on less than half of the machines on which it may run, so that it can avoid these machines. */
-    private fun failedOnFew(
-        job: Job,
-        zones: ZoneConstraint,
-    ) = job.failedOn.isNotEmpty() && job.failedOn.size < openMachines.count { mayRunOn(job, it) && zones.allows(it.zone) } / 2
-
-    private fun mayRunOn(
-        job: Job,
-        machine: Machine,
-    ): Boolean {
-        val spec = job.spec
-        return machine.type.name in job.compatibleTypes && (spec.types == null || machine.type.name in spec.types) && (!machine.spot || spec.spot)
-    }
-
     /** The search for machines for one job among [fitting], the candidates that its constraints allow. */
     private inner class JobSearch(
         private val job: Job,
         private val zones: ZoneConstraint,
+        private val filter: PlacementFilter,
         private val fitting: List<Machine>,
         maxTasks: Int,
         private val maxImageRank: Int,
         private val maxFetchS: Double,
     ) {
         private val spec: JobSpec = job.spec
-        private val rankedMachines = MachineRanking(spec, fitting.filter { isImageAccepted(it) && hasCapacity(it) })
+        private val rankedMachines = MachineRanking(spec, fitting.filter { isImageAccepted(it) && filter.hasCapacity(it) })
         private val tasks = job.waiting(maxTasks).iterator()
         private var planned = 0
 
@@ -88,8 +75,6 @@
             return rank == ImageRank.PRESENT || (rank <= maxImageRank && machine.images.fetchS(spec.image, spec.imageGb) <= maxFetchS)
         }
 
-        private fun hasCapacity(machine: Machine) = machine.occupancy.hasCapacityFor(spec.cpus + reserve.margin(machine, spec), spec.gpus, spec.memoryGb)
-
         private fun fill(
             maxRank: Int,
             spreading: Boolean,
@@ -110,7 +95,7 @@
         ) {
             val isSpread = spreading && spec.shape == Shape.SERVICE
             val maxServiceCpus = if (isSpread) machine.type.cpus * PlacementConstants.SPREAD_CPU_FRACTION else machine.type.cpus
-            while (tasks.hasNext() && machine.occupancy.serviceCpus + spec.cpus <= maxServiceCpus && hasCapacity(machine) && zones.allows(machine.zone)) {
+            while (tasks.hasNext() && machine.occupancy.serviceCpus + spec.cpus <= maxServiceCpus && filter.hasCapacity(machine) && zones.allows(machine.zone)) {
                 reserve.recordTask(machine, spec.cpus)
                 planNext(machine)
             }
