--- a/src/main/kotlin/mintfield/app/replica/JobLookup.kt
+++ b/src/main/kotlin/mintfield/app/api/JobLookup.kt
@@ -1,4 +1,4 @@
-package mintfield.app.replica
+package mintfield.app.api
 
 import mintfield.core.jobs.KnownJob
 
