--- a/src/main/kotlin/mintfield/app/Controller.kt
+++ b/src/main/kotlin/mintfield/app/Controller.kt
@@ -19,6 +19,7 @@
 import mintfield.app.peer.PeerRelay
 import mintfield.app.peer.PeerServer
 import mintfield.app.peer.PeerStatusSender
+import mintfield.app.replica.CurrentJobReader
 import mintfield.app.replica.JobReplicator
 import mintfield.app.sharding.ForeignTaskRouter
 import mintfield.app.sharding.MoveTracerFactory
@@ -83,8 +84,9 @@
     private val progress = JobProgressView(elections, peerProgress, sharded = sharding != null)
     private val userWrites = UserWriteBatcher(loop, scope, services.store, services.stateLimits)
     private val versions = VersionRecords(settings, services.store, loop)
-    private val statuses = JobStatusService(services.store, replicator, progress::of, ::cancellationConfirmed, health::isStoreUnreachable)
-    private val predecessors = PredecessorLookup(services.store, replicator, loop::nowMs)
+    private val currentJobs = CurrentJobReader(services.store, replicator, health::isStoreUnreachable)
+    private val statuses = JobStatusService(currentJobs, replicator, progress::of, ::cancellationConfirmed)
+    private val predecessors = PredecessorLookup(currentJobs, replicator, loop::nowMs)
     private val admission = JobAdmission(settings.teams) { services.types.values }
     private val submissions =
         JobSubmissionService(admission, replicator, statuses, userWrites, predecessors, versions, services.stateLimits, health::isStoreUnreachable)
--- a/src/main/kotlin/mintfield/app/api/JobStatusService.kt
+++ b/src/main/kotlin/mintfield/app/api/JobStatusService.kt
@@ -1,18 +1,13 @@
 package mintfield.app.api
 
+import mintfield.app.replica.CurrentJobReader
+import mintfield.app.replica.JobLookup
 import mintfield.app.replica.JobReplicator
 import mintfield.core.constants.UserApiConstants
 import mintfield.core.jobs.KnownJob
 import mintfield.core.model.JobPhase
 import mintfield.io.http.HttpStatus
 import mintfield.io.http.Response
-import mintfield.io.loop.Log
-import mintfield.io.store.Decoded
-import mintfield.io.store.Entry
-import mintfield.io.store.FinalStateCodec
-import mintfield.io.store.Keys
-import mintfield.io.store.StoreClient
-import mintfield.io.store.StoreResult
 import mintfield.io.worker.JobStatusCodec
 
 /**
@@ -20,14 +15,12 @@
  * arrival of its request, whichever controllers have responded before, and a final state never changes. Must be used on the event loop only.
  */
 class JobStatusService(
-    private val store: StoreClient,
+    private val jobs: CurrentJobReader,
     private val replicator: JobReplicator,
     /** Returns the progress of a job by its id; null if it is not known here. */
     private val progress: (String) -> Progress?,
     /** Called with the id of a job before its cancellation is confirmed to a user. */
     private val onCancellationConfirmed: (String) -> Unit,
-    /** Whether recent calls to the store got no response. User requests are then refused at once instead of waiting for a timeout. */
-    private val isStoreUnreachable: () -> Boolean,
 ) {
     /** The response with the state of job [id]; the response of [otherwise] if the job was never accepted. */
     suspend inline fun stateOrElse(
@@ -40,42 +33,13 @@
             JobLookup.Unavailable -> storeUnavailable()
         }
 
-    /** Looks up job [id] as of a moment after this call. A cached final state is used without reading the store, since it never changes. */
-    suspend fun lookUp(id: String): JobLookup {
-        val cached = replicator.known(id) as? KnownJob.Ended
-        return if (cached == null) lookUpCurrent(id) else JobLookup.Found(cached)
-    }
-
-    private suspend fun lookUpCurrent(id: String): JobLookup {
-        if (isStoreUnreachable() || !replicator.awaitCurrent() || !replicator.resolvePredecessorsOf(id)) return JobLookup.Unavailable
-        val known = replicator.known(id)
-        if (known is KnownJob.Ended || known is KnownJob.Live) return JobLookup.Found(known)
-        // Without a readable live record the job may have ended long ago, so its final state is read.
-        val read = store.get(Keys.final(id)) as? StoreResult.Ok ?: return JobLookup.Unavailable
-        val recorded = read.value?.let { finalState(id, it) } ?: replicator.known(id)
-        return if (recorded == null) JobLookup.NotFound else JobLookup.Found(recorded)
-    }
-
-    /** Decodes the final state in [entry]. If it cannot be decoded the job counts as accepted, but neither as done nor as cancelled. */
-    private fun finalState(
-        id: String,
-        entry: Entry,
-    ): KnownJob =
-        when (val decoded = FinalStateCodec.decode(entry.data)) {
-            is Decoded.Valid -> {
-                replicator.onJobEnded(id, decoded.value)
-                KnownJob.Ended(decoded.value)
-            }
-            is Decoded.Invalid -> {
-                Log.error("job $id: cannot decode final state of revision ${entry.revision}; record kept, job reported as pending")
-                KnownJob.Unreadable
-            }
-        }
+    /** Looks up job [id] as of a moment after this call. */
+    suspend fun lookUp(id: String): JobLookup = jobs.lookUp(id)
 
     /** The response to a submission whose write was just applied. The job may have been cancelled or ended before the write result arrived. */
     fun accepted(id: String): Response {
         val known = replicator.known(id)
-        val ended = known is KnownJob.Ended || known is KnownJob.Live && isCancelled(known)
+        val ended = known is KnownJob.Ended || known is KnownJob.Live && replicator.isCancelled(known)
         return if (ended) stateOf(id, known) else unfinished(id, HttpStatus.CREATED)
     }
 
@@ -91,13 +55,10 @@
         when (val newest = replicator.known(id) as? KnownJob.Ended ?: known) {
             is KnownJob.Ended -> response(id, newest.state.phase, newest.state.doneTasks, HttpStatus.OK)
             is KnownJob.Live ->
-                if (isCancelled(newest)) response(id, JobPhase.CANCELLED, doneTasks(id), HttpStatus.OK) else unfinished(id, HttpStatus.OK)
+                if (replicator.isCancelled(newest)) response(id, JobPhase.CANCELLED, doneTasks(id), HttpStatus.OK) else unfinished(id, HttpStatus.OK)
             KnownJob.Unreadable -> unfinished(id, HttpStatus.OK)
         }
 
-    /** Whether a job is cancelled, by its user or because a job that it depends on is cancelled, even if its record does not state it yet. */
-    fun isCancelled(known: KnownJob.Live) = known.job.cancelled || replicator.dependencies.isCancelledByDependency(known.job.spec.id)
-
     /** The response to a submission that was accepted and immediately cancelled, because a job that it depends on is cancelled. */
     fun acceptedAsCancelled(id: String): Response = response(id, JobPhase.CANCELLED, doneTasks = 0, HttpStatus.CREATED)
 
--- a/src/main/kotlin/mintfield/app/api/UserApi.kt
+++ b/src/main/kotlin/mintfield/app/api/UserApi.kt
@@ -1,5 +1,6 @@
 package mintfield.app.api
 
+import mintfield.app.replica.JobLookup
 import mintfield.app.replica.JobReplicator
 import mintfield.core.jobs.KnownJob
 import mintfield.core.model.AcceptedJob
@@ -55,7 +56,7 @@
     ): Response? =
         when (known) {
             is KnownJob.Ended -> statuses.stateOf(id, known)
-            is KnownJob.Live -> if (statuses.isCancelled(known)) statuses.stateOf(id, known) else cancel(known.job)
+            is KnownJob.Live -> if (replicator.isCancelled(known)) statuses.stateOf(id, known) else cancel(known.job)
             KnownJob.Unreadable -> statuses.busy("what is recorded of it cannot be read")
         }
 
--- a/src/main/kotlin/mintfield/app/api/JobLookup.kt
+++ b/src/main/kotlin/mintfield/app/replica/JobLookup.kt
@@ -1,4 +1,4 @@
-package mintfield.app.api
+package mintfield.app.replica
 
 import mintfield.core.jobs.KnownJob
 
--- a/src/main/kotlin/mintfield/app/replica/JobReplicator.kt
+++ b/src/main/kotlin/mintfield/app/replica/JobReplicator.kt
@@ -69,6 +69,9 @@
     /** The state of job [id] in the replica, which may lag behind; null if the job is unknown. */
     fun known(id: String): KnownJob? = replica.known(id)
 
+    /** Whether a job is cancelled, by its user or because a job that it depends on is cancelled, even if its record does not state it yet. */
+    fun isCancelled(known: KnownJob.Live): Boolean = known.job.cancelled || dependencies.isCancelledByDependency(known.job.spec.id)
+
     /** Records the final [state] of job [id], which must be committed to the store already. */
     fun onJobEnded(
         id: String,
--- a/src/main/kotlin/mintfield/core/placement/TaskPlacement.kt
+++ b/src/main/kotlin/mintfield/core/placement/TaskPlacement.kt
@@ -95,12 +95,17 @@
         ) {
             val isSpread = spreading && spec.shape == Shape.SERVICE
             val maxServiceCpus = if (isSpread) machine.type.cpus * PlacementConstants.SPREAD_CPU_FRACTION else machine.type.cpus
-            while (tasks.hasNext() && machine.occupancy.serviceCpus + spec.cpus <= maxServiceCpus && filter.hasCapacity(machine) && zones.allows(machine.zone)) {
+            while (tasks.hasNext() && isCandidate(machine, maxServiceCpus)) {
                 reserve.recordTask(machine, spec.cpus)
                 planNext(machine)
             }
         }
 
+        private fun isCandidate(
+            machine: Machine,
+            maxServiceCpus: Double,
+        ) = machine.occupancy.serviceCpus + spec.cpus <= maxServiceCpus && filter.hasCapacity(machine) && zones.allows(machine.zone)
+
         private fun preempt(maxRank: Int) {
             val ranking = MachineRanking(spec, fitting.filter { ImageRank.of(it, spec.image) <= maxRank })
             while (tasks.hasNext()) {
