--- a/src/main/kotlin/mintfield/core/jobs/JobReplica.kt
+++ b/src/main/kotlin/mintfield/core/jobs/JobReplica.kt
@@ -103,9 +103,13 @@
             found.putAll(records)
         }
 
-        /** Applies the snapshot, so that [revision] is at least that of the first page. Throws [IllegalStateException] without a page. */
+        /**
+         * Applies the snapshot, so that [revision] is at least that of the first page. A replica that is already complete up to that page is
+         * left unchanged: the snapshot may contain jobs that a newer snapshot has removed. Throws [IllegalStateException] without a page.
+         */
         fun complete() {
             val readAt = checkNotNull(firstRevision) { "snapshot completed without a page" }
+            if (isLoaded && readAt <= revision) return
             found.forEach { (id, record) -> if (record.revision > (removedAt[id] ?: 0)) write(id, record) }
             // A record written after the first page was read may be in no page; it is among the changes that are read next.
             val removed = (unfinishedById.keys + unreadable.keys).filter { it !in found && revisionOf(it) <= readAt }
--- a/src/test/kotlin/mintfield/core/jobs/JobReplicaTest.kt
+++ b/src/test/kotlin/mintfield/core/jobs/JobReplicaTest.kt
@@ -110,6 +110,21 @@
         assertEquals(emptyList<String>(), notified)
     }
 
+    @Test
+    fun `a snapshot completed after a newer one does not restore jobs that have ended since`() {
+        load(400, job(390))
+        replica.historyCompacted(400)
+        val older = replica.beginSnapshot()
+        older.addPage(410, mapOf("wk-1" to record(job(390)), "wk-2" to record(job(405, "wk-2"))))
+        load(450)
+        val notified = notifications()
+        older.complete()
+        older.close()
+        assertTrue(replica.unfinishedJobs.isEmpty())
+        assertEquals(450, replica.revision)
+        assertEquals(emptyList<String>(), notified)
+    }
+
     @Test
     fun `a snapshot removes exactly the jobs that it does not contain`() {
         load(400, job(390), job(391, "wk-2"))
