--- a/src/main/kotlin/mintfield/core/constants/PlacementConstants.kt
+++ b/src/main/kotlin/mintfield/core/constants/PlacementConstants.kt
@@ -128,6 +128,9 @@
     /** Time without a placement after which the log states why a job is not placed. */
     const val STALL_REPORT_AFTER_MS = 60_000L
 
+    /** Interval between checks for jobs that are not placed. */
+    const val STALL_CHECK_INTERVAL_MS = 1_000L
+
     /** Minimum interval between two log lines on jobs that are not placed. */
     const val STALL_REPORT_INTERVAL_MS = 30_000L
 
--- a/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
+++ b/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
@@ -30,11 +30,12 @@
         if (openMachines.isEmpty()) return 0
         val reserve = ReplicaReserve(cluster, openMachines)
         val starvation = StarvationGuard(cluster, waiting, wallMs)
-        stalledJobs.report(waiting, openMachines, reserve, starvation, nowMs)
         val withCapacity = MachinesWithCapacity(openMachines, waiting, reserve)
-        // Returns early so that the cost of a round does not grow with the number of waiting jobs while all machines are full.
-        if (withCapacity.isEmpty && waiting.none { it.spec.shape != Shape.ARRAY || it.preemptionPriority < Priority.NORMAL }) return 0
-        return Run(nowMs, wallMs, maxTasks, waiting, openMachines, reserve, starvation, withCapacity).placeAll()
+        // Skips the placement so that the cost of a round does not grow with the number of waiting jobs while all machines are full.
+        val mayPlace = !withCapacity.isEmpty || waiting.any { it.spec.shape != Shape.ARRAY || it.preemptionPriority < Priority.NORMAL }
+        val planned = if (mayPlace) Run(nowMs, wallMs, maxTasks, waiting, openMachines, reserve, starvation, withCapacity).placeAll() else 0
+        if (!replicasOnly) stalledJobs.report(waiting, openMachines, reserve, starvation, nowMs)
+        return planned
     }
 
     private fun waitingJobs(
--- a/src/main/kotlin/mintfield/core/placement/StalledJobReport.kt
+++ b/src/main/kotlin/mintfield/core/placement/StalledJobReport.kt
@@ -11,9 +11,12 @@
     private val cluster: Cluster,
     private val log: (String) -> Unit,
 ) {
-    private var nextReportAtMs = 0L
+    private var nextCheckAtMs = 0L
 
-    /** Reports one job of [waiting], at most once per [PlacementConstants.STALL_REPORT_INTERVAL_MS]. Jobs of a team at its limit are not reported. */
+    /**
+     * Reports one job of [waiting] after a round, at most once per [PlacementConstants.STALL_REPORT_INTERVAL_MS]. Jobs of a team at its limit
+     * are not reported.
+     */
     fun report(
         waiting: List<Job>,
         openMachines: List<Machine>,
@@ -21,11 +24,13 @@
         starvation: StarvationGuard,
         nowMs: Long,
     ) {
-        if (nowMs < nextReportAtMs) return
-        val job = waiting.filter { cluster.quotas.allowance(it.spec) > 0 }.maxByOrNull { it.placementWaitMs(nowMs) } ?: return
+        if (nowMs < nextCheckAtMs) return
+        nextCheckAtMs = nowMs + PlacementConstants.STALL_CHECK_INTERVAL_MS
+        val stalled = waiting.filter { it.schedulableTasks > 0 && cluster.quotas.allowance(it.spec) > 0 }
+        val job = stalled.maxByOrNull { it.placementWaitMs(nowMs) } ?: return
         val waitMs = job.placementWaitMs(nowMs)
         if (waitMs < PlacementConstants.STALL_REPORT_AFTER_MS) return
-        nextReportAtMs = nowMs + PlacementConstants.STALL_REPORT_INTERVAL_MS
+        nextCheckAtMs = nowMs + PlacementConstants.STALL_REPORT_INTERVAL_MS
         val obstacles = obstacles(job, openMachines, reserve, starvation.reservedForGang(openMachines))
         log("${job.id}: no placement for ${waitMs / TimeUnits.MS_PER_SECOND} s, ${job.schedulableTasks} tasks wait; machines: ${describe(obstacles)}")
     }
