--- a/src/main/kotlin/mintfield/app/replica/CurrentJobReader.kt
+++ b/src/main/kotlin/mintfield/app/replica/CurrentJobReader.kt
@@ -33,6 +33,7 @@
     }
 
     private suspend fun lookUpInCurrentReplica(id: String): JobLookup {
+        (replicator.known(id) as? KnownJob.Ended)?.let { return JobLookup.Found(it) }
         // Whether an unfinished job is cancelled also depends on the ends of its direct and indirect predecessors.
         if (!replicator.resolvePredecessorsOf(id)) return JobLookup.Unavailable
         val known = replicator.known(id)
