--- a/src/main/kotlin/mintfield/core/Cluster.kt
+++ b/src/main/kotlin/mintfield/core/Cluster.kt
@@ -138,7 +138,9 @@
         val job = attempt.job
         attempt.moveTo(AttemptState.RELEASED, nowMs)
         attempt.machine.vacate(attempt)
+        val othersWait = job.waitingCount > 0
         job.progress.remove(attempt)
+        if (!othersWait) job.waitBegan(nowMs)
         quotas.usage(job.spec.team).subtract(job.spec)
         // Until the job's record is rewritten it names the old machine, and a new leader would wait for proof from a machine that no longer exists.
         job.unwritten.waitSince(nowMs)
--- a/src/main/kotlin/mintfield/core/constants/PlacementConstants.kt
+++ b/src/main/kotlin/mintfield/core/constants/PlacementConstants.kt
@@ -125,6 +125,9 @@
     /** Time without a placement after which an array fetches its image on any machine that has capacity. */
     const val IMAGE_WAIT_LIMIT_MS = 30_000L
 
+    /** Time without a placement after which a job uses every machine that its constraints allow. The fetch of its image follows, within 90 s in all. */
+    const val PREFERENCE_WAIT_LIMIT_MS = 45_000L
+
     /** Time without a placement after which the log states why a job is not placed. */
     const val STALL_REPORT_AFTER_MS = 60_000L
 
--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -1,5 +1,6 @@
 package mintfield.core.jobs
 
+import mintfield.core.constants.PlacementConstants
 import mintfield.core.model.AcceptedJob
 import mintfield.core.model.JobSpec
 import mintfield.core.model.Priority
@@ -112,8 +113,22 @@
     /** When one of its tasks was last planned, in milliseconds of monotonic time. */
     var lastPlanAtMs = 0L
 
-    /** Milliseconds since one of its tasks was last planned, or since this leader first could plan one. */
-    fun placementWaitMs(nowMs: Long): Long = nowMs - maxOf(firstSeenAtMs, lastPlanAtMs)
+    /** When one of its tasks last became waiting while no other one waited, in milliseconds of monotonic time. */
+    private var waitingSinceMs = 0L
+
+    /** Records that a task of it waits again, while no other one waited. */
+    fun waitBegan(nowMs: Long) {
+        waitingSinceMs = nowMs
+    }
+
+    /** Milliseconds for which tasks of it have waited without one of them being planned. Only meaningful while tasks wait. */
+    fun placementWaitMs(nowMs: Long): Long = nowMs - maxOf(firstSeenAtMs, lastPlanAtMs, waitingSinceMs)
+
+    /**
+     * Whether it has waited so long that it uses every machine that its constraints allow. Before, it leaves out machines whose capacity is
+     * reserved for others.
+     */
+    fun acceptsAnyMachine(nowMs: Long): Boolean = placementWaitMs(nowMs) >= PlacementConstants.PREFERENCE_WAIT_LIMIT_MS
 
     /** When a heartbeat last showed that one of its tasks had started to run, in milliseconds of monotonic time. */
     var lastRunAtMs = 0L
--- a/src/main/kotlin/mintfield/core/placement/ExhaustedSearches.kt
+++ b/src/main/kotlin/mintfield/core/placement/ExhaustedSearches.kt
@@ -9,7 +9,9 @@
  * one task fails for every later task with the same requirements. Skipping such searches avoids trying each of thousands of waiting jobs
  * on thousands of machines.
  */
-class ExhaustedSearches {
+class ExhaustedSearches(
+    private val nowMs: Long,
+) {
     /** The properties that determine the choice of a machine, for a job whose tasks can be placed independently of each other. */
     private data class Requirements(
         val image: String,
@@ -21,6 +23,7 @@
         val types: List<String>?,
         val spot: Boolean,
         val zone: String?,
+        val acceptsAnyMachine: Boolean,
     )
 
     /** The highest image rank and the longest fetch that a failed search accepted. */
@@ -60,7 +63,18 @@
         val spec = job.spec
         if (spec.shape != Shape.ARRAY || job.preemptionPriority < Priority.NORMAL) return null
         if (spec.oneZone || spec.spread || job.failedOn.isNotEmpty()) return null
-        return Requirements(spec.image, spec.imageGb, spec.cpus, spec.gpus, spec.memoryGb, job.compatibleTypes, spec.types, spec.spot, spec.zone)
+        return Requirements(
+            spec.image,
+            spec.imageGb,
+            spec.cpus,
+            spec.gpus,
+            spec.memoryGb,
+            job.compatibleTypes,
+            spec.types,
+            spec.spot,
+            spec.zone,
+            job.acceptsAnyMachine(nowMs),
+        )
     }
 
     private companion object {
--- a/src/main/kotlin/mintfield/core/placement/MachinesWithCapacity.kt
+++ b/src/main/kotlin/mintfield/core/placement/MachinesWithCapacity.kt
@@ -14,11 +14,15 @@
     private val openMachines: List<Machine>,
     waiting: List<Job>,
     private val reserve: ReplicaReserve,
+    nowMs: Long,
 ) {
     private val arrays = waiting.filter { it.spec.shape == Shape.ARRAY }
 
-    /** The minimum of each resource that a task of any waiting array needs. */
-    private val cpus = arrays.minOfOrNull { it.spec.cpus } ?: 0.0
+    /** The minimum of CPUs that a task of any waiting array needs: of the arrays that may use the reserve for replicas, and of the others. */
+    private val cpusWithReserve = arrays.filter { it.acceptsAnyMachine(nowMs) }.minOfOrNull { it.spec.cpus } ?: Double.MAX_VALUE
+    private val cpusBesideReserve = arrays.filterNot { it.acceptsAnyMachine(nowMs) }.minOfOrNull { it.spec.cpus } ?: Double.MAX_VALUE
+
+    /** The minimum of the other resources that a task of any waiting array needs. */
     private val gpus = arrays.minOfOrNull { it.spec.gpus } ?: 0.0
     private val memoryGb = arrays.minOfOrNull { it.spec.memoryGb } ?: 0.0
     private var withCapacity = openMachines.filter { hasCapacity(it) }
@@ -27,7 +31,10 @@
     /** Whether no machine has capacity for any waiting array. */
     val isEmpty: Boolean get() = withCapacity.isEmpty()
 
-    private fun hasCapacity(machine: Machine) = machine.occupancy.hasCapacityFor(cpus + reserve.margin(machine, cpus), gpus, memoryGb)
+    private fun hasCapacity(machine: Machine): Boolean {
+        val cpus = minOf(cpusWithReserve, cpusBesideReserve + reserve.margin(machine, cpusBesideReserve))
+        return machine.occupancy.hasCapacityFor(cpus, gpus, memoryGb)
+    }
 
     /** The machines on which a task of [job] could be placed: all open machines if the job may preempt others or is not an array. */
     fun forJob(job: Job): List<Machine> {
--- a/src/main/kotlin/mintfield/core/placement/PlacementFilter.kt
+++ b/src/main/kotlin/mintfield/core/placement/PlacementFilter.kt
@@ -10,8 +10,10 @@
     private val zones: ZoneConstraint,
     openMachines: List<Machine>,
     private val reserve: ReplicaReserve,
+    nowMs: Long,
 ) {
     private val spec: JobSpec = job.spec
+    private val acceptsAnyMachine = job.acceptsAnyMachine(nowMs)
     private val avoidedIds = if (failedOnFew(openMachines)) job.failedOn else emptySet()
 
     /** Whether the job has failed, but on less than half of the machines on which it may run, so that it can avoid these machines. */
@@ -23,8 +25,8 @@
     /** Whether the job may use [machine], if its free resources suffice. */
     fun allows(machine: Machine): Boolean = machine.id !in avoidedIds && isCompatible(machine) && zones.allows(machine.zone)
 
-    /** Whether the free resources of [machine] suffice for a task of the job beside the reserve for replicas. */
-    fun hasCapacity(machine: Machine): Boolean = hasCapacity(machine, reserve.margin(machine, spec))
+    /** Whether the free resources of [machine] suffice for a task of the job, beside the reserve for replicas unless the job has waited long. */
+    fun hasCapacity(machine: Machine): Boolean = hasCapacity(machine, if (acceptsAnyMachine) 0.0 else reserve.margin(machine, spec))
 
     /** The obstacle to a task of the job on [machine], which accepts tasks; null if there is none. */
     fun obstacle(machine: Machine): PlacementObstacle? =
--- a/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
+++ b/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
@@ -30,7 +30,7 @@
         if (openMachines.isEmpty()) return 0
         val reserve = ReplicaReserve(cluster, openMachines)
         val starvation = StarvationGuard(cluster, waiting, wallMs)
-        val withCapacity = MachinesWithCapacity(openMachines, waiting, reserve)
+        val withCapacity = MachinesWithCapacity(openMachines, waiting, reserve, nowMs)
         // Skips the placement so that the cost of a round does not grow with the number of waiting jobs while all machines are full.
         val mayPlace = !withCapacity.isEmpty || waiting.any { it.spec.shape != Shape.ARRAY || it.preemptionPriority < Priority.NORMAL }
         val planned = if (mayPlace) Run(nowMs, wallMs, maxTasks, waiting, openMachines, reserve, starvation, withCapacity).placeAll() else 0
@@ -61,7 +61,7 @@
         private val withCapacity: MachinesWithCapacity,
     ) {
         private val placement = TaskPlacement(cluster, openMachines, reserve, cluster.attemptNumber(), nowMs, log)
-        private val exhausted = ExhaustedSearches()
+        private val exhausted = ExhaustedSearches(nowMs)
         private val gracePeriod = FailoverGracePeriod(cluster, nowMs)
         private val order = jobOrder.sorted(waiting, wallMs)
         private val arrayCpus = arrayCapacity(cluster)
--- a/src/main/kotlin/mintfield/core/placement/StalledJobReport.kt
+++ b/src/main/kotlin/mintfield/core/placement/StalledJobReport.kt
@@ -31,7 +31,7 @@
         val waitMs = job.placementWaitMs(nowMs)
         if (waitMs < PlacementConstants.STALL_REPORT_AFTER_MS) return
         nextCheckAtMs = nowMs + PlacementConstants.STALL_REPORT_INTERVAL_MS
-        val obstacles = obstacles(job, openMachines, reserve, starvation.reservedForGang(openMachines))
+        val obstacles = obstacles(job, openMachines, reserve, starvation.reservedForGang(openMachines), nowMs)
         log("${job.id}: no placement for ${waitMs / TimeUnits.MS_PER_SECOND} s, ${job.schedulableTasks} tasks wait; machines: ${describe(obstacles)}")
     }
 
@@ -40,8 +40,9 @@
         openMachines: List<Machine>,
         reserve: ReplicaReserve,
         reservedForGang: Set<Machine>,
+        nowMs: Long,
     ): Map<PlacementObstacle?, Int> {
-        val filter = PlacementFilter(job, ZoneConstraint(job, openMachines), openMachines, reserve)
+        val filter = PlacementFilter(job, ZoneConstraint(job, openMachines), openMachines, reserve, nowMs)
         val found = openMachines.map { filter.obstacle(it) ?: PlacementObstacle.GANG_RESERVE.takeIf { _ -> it in reservedForGang } }
         val counts = found.groupingBy { it }.eachCount().toMutableMap()
         val closed = cluster.machines.size - openMachines.size
--- a/src/main/kotlin/mintfield/core/placement/TaskPlacement.kt
+++ b/src/main/kotlin/mintfield/core/placement/TaskPlacement.kt
@@ -36,7 +36,7 @@
         // A gang is placed as a whole: only after its previous attempts have ended, and only if all its tasks fit.
         if (candidates.isEmpty() || (isGang && (job.activeAttempts.isNotEmpty() || maxTasks < job.waitingCount))) return 0
         val zones = ZoneConstraint(job, openMachines)
-        val filter = PlacementFilter(job, zones, openMachines, reserve)
+        val filter = PlacementFilter(job, zones, openMachines, reserve, nowMs)
         val fitting = candidates.filter(filter::allows)
         val gangFits = !isGang || fitting.sumOf { taskCapacity(job.spec, it.freeCpus, it.freeGpus, it.freeMemoryGb) } >= job.waitingCount
         val planned = if (gangFits) JobSearch(job, zones, filter, fitting, maxTasks, maxImageRank, maxFetchS).run() else 0
