--- a/src/main/kotlin/mintfield/core/jobs/Job.kt
+++ b/src/main/kotlin/mintfield/core/jobs/Job.kt
@@ -125,8 +125,8 @@
     fun placementWaitMs(nowMs: Long): Long = nowMs - maxOf(firstSeenAtMs, lastPlanAtMs, waitingSinceMs)
 
     /**
-     * Whether it has waited so long that it uses every machine that its constraints allow. Before, it leaves out machines whose capacity is
-     * reserved for others.
+     * Whether it has waited so long that it uses every machine that its constraints allow. Before, it leaves out machines on which a task of
+     * it has failed, and capacity that is reserved for others.
      */
     fun acceptsAnyMachine(nowMs: Long): Boolean = placementWaitMs(nowMs) >= PlacementConstants.PREFERENCE_WAIT_LIMIT_MS
 
--- a/src/main/kotlin/mintfield/core/placement/PlacementFilter.kt
+++ b/src/main/kotlin/mintfield/core/placement/PlacementFilter.kt
@@ -14,7 +14,7 @@
 ) {
     private val spec: JobSpec = job.spec
     private val acceptsAnyMachine = job.acceptsAnyMachine(nowMs)
-    private val avoidedIds = if (failedOnFew(openMachines)) job.failedOn else emptySet()
+    private val avoidedIds = if (!acceptsAnyMachine && failedOnFew(openMachines)) job.failedOn else emptySet()
 
     /** Whether the job has failed, but on less than half of the machines on which it may run, so that it can avoid these machines. */
     private fun failedOnFew(openMachines: List<Machine>): Boolean {
--- a/src/test/kotlin/mintfield/core/placement/SchedulingRoundTest.kt
+++ b/src/test/kotlin/mintfield/core/placement/SchedulingRoundTest.kt
@@ -84,6 +84,25 @@
         assertEquals(2, s.planned("wk-000002"))
     }
 
+    @Test
+    fun `a job does not wait for ever beside a machine on which it failed`() {
+        val s = scheduler(4)
+        s.submit(Fixtures.spec("wk-000001", tasks = 3, cpus = 4.0))
+        assertEquals(3, s.planned("wk-000001"))
+        val empty =
+            s.cluster.machines.values
+                .single { it.freeCpus > 0 }
+        s.submit(Fixtures.spec("wk-000002"))
+        s.cluster.jobs
+            .getValue("wk-000002")
+            .failureRecord
+            .recordFailure(empty, ranMs = 0, nowMs = now)
+        s.pass(1)
+        assertEquals(0, s.planned("wk-000002"), "the job avoids the machine on which it failed")
+        s.pass(placementLimitS)
+        assertEquals(1, s.planned("wk-000002"))
+    }
+
     @Test
     fun `a task waits for capacity on a machine with its image when a fetch would take longer`() {
         val s = scheduler(2, image = "img-1")
