--- a/src/main/kotlin/mintfield/core/placement/ZoneConstraint.kt
+++ b/src/main/kotlin/mintfield/core/placement/ZoneConstraint.kt
@@ -31,13 +31,16 @@
             }
     }
 
+    /** The zone in which most tasks fit on the free resources; of several, the one with most free CPUs, as tasks there may be preempted. */
     private fun zoneWithMostCapacity(openMachines: List<Machine>): String? =
         openMachines
             .filter { (!it.spot || spec.spot) && it.type.name in job.compatibleTypes }
             .groupBy { it.zone }
-            .maxByOrNull { (_, machines) -> machines.sumOf { Math.floor(it.freeCpus / maxOf(spec.cpus, MIN_CPUS)) } }
+            .maxWithOrNull(compareBy({ (_, machines) -> machines.sumOf(::taskCapacity) }, { (_, machines) -> machines.sumOf { it.freeCpus } }))
             ?.key
 
+    private fun taskCapacity(machine: Machine): Int = taskCapacity(spec, machine.freeCpus, machine.freeGpus, machine.freeMemoryGb)
+
     /** Whether the next task may be placed in [zone]. A job with spread tasks has at most half of them, rounded up, in one zone. */
     fun allows(zone: String): Boolean {
         if (zoneUnknown || (onlyZone != null && zone != onlyZone)) return false
@@ -48,9 +51,4 @@
     fun recordPlaced(zone: String) {
         tasksByZone.merge(zone, 1, Int::plus)
     }
-
-    private companion object {
-        /** Minimum divisor, which keeps the quotient finite for tasks that need no CPU. */
-        const val MIN_CPUS = 1e-6
-    }
 }
--- a/src/test/kotlin/mintfield/core/placement/SchedulingRoundTest.kt
+++ b/src/test/kotlin/mintfield/core/placement/SchedulingRoundTest.kt
@@ -103,6 +103,17 @@
         assertEquals(1, s.planned("wk-000002"))
     }
 
+    @Test
+    fun `a job bound to one zone does not wait for the zone whose machines have no memory for it`() {
+        val s = scheduler(1)
+        s.heartbeat(Fixtures.heartbeat("m-100", 1, 1, zone = "south"), mayAct = true, nowMs = now)
+        s.submit(Fixtures.spec("wk-000001", zone = "north").copy(memoryGb = 15.0))
+        s.submit(Fixtures.spec("wk-000002", zone = "south", cpus = 2.0))
+        assertEquals(1, s.planned("wk-000001"))
+        s.submit(Fixtures.spec("wk-000003", tasks = 2, oneZone = true).copy(memoryGb = 4.0))
+        assertEquals(2, s.planned("wk-000003"), "the north has 3 CPUs and 1 GB free, the south 2 CPUs and 15 GB")
+    }
+
     @Test
     fun `a task waits for capacity on a machine with its image when a fetch would take longer`() {
         val s = scheduler(2, image = "img-1")
