--- a/src/main/kotlin/mintfield/core/placement/MachinesWithCapacity.kt
+++ b/src/main/kotlin/mintfield/core/placement/MachinesWithCapacity.kt
@@ -18,9 +18,11 @@
 ) {
     private val arrays = waiting.filter { it.spec.shape == Shape.ARRAY }
 
-    /** The minimum of CPUs that a task of any waiting array needs: of the arrays that may use the reserve for replicas, and of the others. */
+    /** The minimum of CPUs that a task needs of the arrays that may use the reserve for replicas. */
     private val cpusWithReserve = arrays.filter { it.acceptsAnyMachine(nowMs) }.minOfOrNull { it.spec.cpus } ?: Double.MAX_VALUE
-    private val cpusBesideReserve = arrays.filterNot { it.acceptsAnyMachine(nowMs) }.minOfOrNull { it.spec.cpus } ?: Double.MAX_VALUE
+
+    /** The CPUs that tasks need of the other arrays. The reserve beside a task depends on its size: a large one may need less in all. */
+    private val cpusBesideReserve = arrays.filterNot { it.acceptsAnyMachine(nowMs) }.mapTo(HashSet()) { it.spec.cpus }
 
     /** The minimum of the other resources that a task of any waiting array needs. */
     private val gpus = arrays.minOfOrNull { it.spec.gpus } ?: 0.0
@@ -32,8 +34,8 @@
     val isEmpty: Boolean get() = withCapacity.isEmpty()
 
     private fun hasCapacity(machine: Machine): Boolean {
-        val cpus = minOf(cpusWithReserve, cpusBesideReserve + reserve.margin(machine, cpusBesideReserve))
-        return machine.occupancy.hasCapacityFor(cpus, gpus, memoryGb)
+        val besideReserve = cpusBesideReserve.minOfOrNull { it + reserve.margin(machine, it) } ?: Double.MAX_VALUE
+        return machine.occupancy.hasCapacityFor(minOf(cpusWithReserve, besideReserve), gpus, memoryGb)
     }
 
     /** The machines on which a task of [job] could be placed: all open machines if the job may preempt others or is not an array. */
--- a/src/test/kotlin/mintfield/core/placement/SchedulingRoundTest.kt
+++ b/src/test/kotlin/mintfield/core/placement/SchedulingRoundTest.kt
@@ -114,6 +114,18 @@
         assertEquals(2, s.planned("wk-000003"), "the north has 3 CPUs and 1 GB free, the south 2 CPUs and 15 GB")
     }
 
+    @Test
+    fun `an array that no machine could host beside a replica is not hidden by one with smaller tasks`() {
+        val s = scheduler(2)
+        s.submit(Fixtures.spec("wk-000001", shape = Shape.SERVICE, priority = Priority.HIGH, cpus = 2.0, spot = false))
+        s.submit(Fixtures.spec("wk-000002"))
+        assertEquals(1, s.planned("wk-000001"))
+        // Free are 2 CPUs on one machine and 3 on the other. A task of 1.5 CPUs needs 3.5, one of 2.5 CPUs no reserve beside it.
+        s.submit(Fixtures.spec("wk-000003", cpus = 1.5))
+        s.submit(Fixtures.spec("wk-000004", cpus = 2.5))
+        assertEquals(1, s.planned("wk-000004"))
+    }
+
     @Test
     fun `a task waits for capacity on a machine with its image when a fetch would take longer`() {
         val s = scheduler(2, image = "img-1")
