--- a/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
+++ b/src/main/kotlin/mintfield/core/placement/SchedulingRound.kt
@@ -51,7 +51,7 @@
 
     /** The state of one round while it runs. */
     private inner class Run(
-        nowMs: Long,
+        private val nowMs: Long,
         wallMs: Long,
         private val maxTasks: Int,
         private val waiting: List<Job>,
@@ -123,7 +123,8 @@
 
         private fun candidates(job: Job): List<Machine> {
             val machines = withCapacity.forJob(job)
-            return if (reservedForGang.isEmpty() || job.spec.shape != Shape.ARRAY) machines else machines.filter { it !in reservedForGang }
+            val usesReserved = reservedForGang.isEmpty() || job.spec.shape != Shape.ARRAY || job.acceptsAnyMachine(nowMs)
+            return if (usesReserved) machines else machines.filter { it !in reservedForGang }
         }
     }
 }
--- a/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
+++ b/src/main/kotlin/mintfield/core/placement/StarvationGuard.kt
@@ -63,13 +63,15 @@
     }
 
     /**
-     * Machines of [openMachines] that are reserved, and closed to arrays, for the gang that has waited longest if it has waited for over
-     * [PlacementConstants.STARVATION_MS]. Without a reservation, capacity for all its tasks at once becomes free only when demand is low.
+     * Machines of [openMachines] that are reserved for the gang that has waited longest if it has waited for over
+     * [PlacementConstants.STARVATION_MS], and closed to arrays that do not accept any machine yet. Without a reservation, capacity for all its
+     * tasks at once becomes free only when demand is low. A gang that its team's limit keeps from being placed has none.
      */
     fun reservedForGang(openMachines: List<Machine>): Set<Machine> {
         val gang =
             waiting
                 .filter { it.spec.shape == Shape.GANG && ageMs(it) > PlacementConstants.STARVATION_MS }
+                .filter { cluster.quotas.allowance(it.spec) >= it.waitingCount }
                 .minWithOrNull(compareBy({ it.readySinceMs }, { it.spec.id })) ?: return emptySet()
         val spec = gang.spec
         val fitting = openMachines.filter { it.type.name in gang.compatibleTypes && (!it.spot || spec.spot) && (spec.zone == null || it.zone == spec.zone) }
