--- a/src/main/kotlin/mintfield/app/replica/CurrentJobReader.kt
+++ b/src/main/kotlin/mintfield/app/replica/CurrentJobReader.kt
@@ -33,12 +33,19 @@
     }
 
     private suspend fun lookUpInCurrentReplica(id: String): JobLookup {
-        (replicator.known(id) as? KnownJob.Ended)?.let { return JobLookup.Found(it) }
-        // Whether an unfinished job is cancelled also depends on the ends of its direct and indirect predecessors.
-        if (!replicator.resolvePredecessorsOf(id)) return JobLookup.Unavailable
         val known = replicator.known(id)
-        if (known is KnownJob.Ended || known is KnownJob.Live) return JobLookup.Found(known)
-        // Without a readable live record the job may have ended long ago, so its final state is read.
+        return when {
+            known is KnownJob.Ended -> JobLookup.Found(known)
+            // Whether an unfinished job is cancelled also depends on the ends of its direct and indirect predecessors.
+            !replicator.resolvePredecessorsOf(id) -> JobLookup.Unavailable
+            else -> readableJob(id)?.let { JobLookup.Found(it) } ?: readFinalState(id)
+        }
+    }
+
+    private fun readableJob(id: String): KnownJob? = replicator.known(id)?.takeIf { it is KnownJob.Ended || it is KnownJob.Live }
+
+    /** Reads the final state of a job without a readable live record: it may have ended long ago. */
+    private suspend fun readFinalState(id: String): JobLookup {
         val read = store.get(Keys.final(id)) as? StoreResult.Ok ?: return JobLookup.Unavailable
         val recorded = read.value?.let { finalState(id, it) } ?: replicator.known(id)
         return if (recorded == null) JobLookup.NotFound else JobLookup.Found(recorded)
